--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -31,6 +31,7 @@
     switching: bool
     pace: float = 1.0
     reachable: bool = True
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,9 +58,10 @@
     def fresh_report(self, now: float) -> Report | None:
         """Return the agent's report unless it is stale."""
         report = self.report
-        if report is not None and now - report.at < REPORT_STALE_S:
-            return report
-        return None
+        if report is None or now - report.at >= REPORT_STALE_S:
+            return None
+        is_same = not report.born_ms or report.born_ms == self.record.born_ms
+        return report if is_same or not self.record.born_ms else None
 
     def running(self, now: float) -> int:
         """Return the calls at the server, those of other entries included."""
@@ -130,7 +132,8 @@
         self._clock = clock
         self._by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
-        self._early: dict[str, Report] = {}
+        self._by_address: dict[str, Backend] = {}
+        self._reports: dict[str, Report] = {}
         self.dropped: list[Callable[[Backend], None]] = []
 
     def update(self, published: Iterable[servers.BackendServer]) -> None:
@@ -143,18 +146,17 @@
         for server_id, record in usable.items():
             known = self._by_id.get(server_id)
             if known is None:
-                known = Backend(record, report=self._early.get(server_id))
+                known = Backend(record, report=self._reports.get(record.address))
                 self._by_id[server_id] = known
             known.record = record
         self._index()
 
-    def hear(self, server_id: str, report: Report) -> None:
-        """Take an agent's report on its server."""
-        backend = self._by_id.get(server_id)
-        if backend is None:
-            self._early[server_id] = report
-            return
-        backend.hear(report)
+    def hear(self, address: str, report: Report) -> None:
+        """Take an agent's report on the server at an address."""
+        self._reports[address] = report
+        backend = self._by_address.get(address)
+        if backend is not None:
+            backend.hear(report)
 
     def of(self, service: str) -> list[Backend]:
         """Return the servers of a service that may get work."""
@@ -184,7 +186,6 @@
     def _drop(self, backend: Backend) -> None:
         backend.dropped = True
         self._by_id.pop(backend.server_id, None)
-        self._early.pop(backend.server_id, None)
         for listener in self.dropped:
             listener(backend)
 
@@ -193,3 +194,6 @@
         for backend in self._by_id.values():
             found.setdefault(backend.record.service, []).append(backend)
         self._by_service = found
+        self._by_address = {
+            backend.record.address: backend for backend in self._by_id.values()
+        }
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -66,6 +66,7 @@
         self._lapsing: dict[str, float] = {}
         self._store_returned_at = -LAPSE_GRACE_S
         self._server_keys: dict[str, str] = {}
+        self._history_from = 0
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
         self.named: dict[str, list[Named]] = {}
@@ -80,6 +81,8 @@
             for key, item in self._items.items()
             if key not in present and item.revision <= snapshot.revision
         ]
+        if not self.revision:
+            self._history_from = snapshot.revision
         self.apply(Changes([*snapshot.items, *absent], snapshot.revision), source)
 
     def apply(self, changes: Changes, source: str) -> None:
@@ -95,6 +98,28 @@
         """Note that the store answers again after it had failed."""
         self._store_returned_at = self._clock()
 
+    @property
+    def history_from(self) -> int:
+        """Return the revision from which on every removal is known."""
+        return self._history_from
+
+    def named_ages(self) -> dict[str, float]:
+        """Return how long ago each named version was learned of, by its mark."""
+        now = self._clock()
+        return {
+            f'{model}@{named.version}': round(now - named.learned_at, 3)
+            for model, found in self.named.items()
+            for named in found
+        }
+
+    def age(self, ages_s: Mapping[str, float]) -> None:
+        """Take a peer's word of when versions were named, where it is earlier."""
+        now = self._clock()
+        for model, found in self.named.items():
+            for named in found:
+                age_s = ages_s.get(f'{model}@{named.version}', 0.0)
+                named.learned_at = min(named.learned_at, now - age_s)
+
     def since(self, revision: int) -> Changes:
         """Return the items and removals past a revision, for a peer."""
         found = [
@@ -224,7 +249,8 @@
         self._items.pop(item.key, None)
         self._removed[item.key] = item
         while len(self._removed) > HISTORY:
-            self._removed.pop(next(iter(self._removed)))
+            oldest = self._removed.pop(next(iter(self._removed)))
+            self._history_from = max(self._history_from, oldest.revision)
         now = self._clock()
         until = self._store_returned_at + LAPSE_GRACE_S
         if now < until and item.key in self._server_keys:
@@ -247,7 +273,3 @@
             except Exception as exc:
                 journal.error('listener.failed', error=repr(exc))
 
-
-def items_of(pairs: Iterable[tuple[str, bytes | None, int]]) -> list[Item]:
-    """Return items from plain rows."""
-    return [Item(*pair) for pair in pairs]
--- a/src/primrosesaddle/members.py
+++ b/src/primrosesaddle/members.py
@@ -79,6 +79,31 @@
         }
         self._candidates = {**seeds, **listed}
 
+    def introduce(self, candidates: Iterable[peers.Candidate]) -> None:
+        """Add processes to connect to, beside those known already."""
+        for cand in candidates:
+            if cand.address != self.card.address:
+                self._candidates[cand.address] = cand
+
+    def roster(self) -> wire.Roster:
+        """Return the entries heard from lately, this process among them."""
+        cards = [peer.card for peer in self.alive('entry')]
+        if self.card.role == 'entry':
+            cards.append(self.card)
+        return wire.Roster(
+            tuple(
+                wire.Known(
+                    card.name,
+                    card.role,
+                    card.address,
+                    card.region,
+                    card.data_centre,
+                    card.serves,
+                )
+                for card in cards
+            ),
+        )
+
     def reach(self, name: str) -> None:
         """Keep a link to a listed peer for a while, beyond the usual links."""
         self._reach[name] = self._clock() + REACH_S
@@ -138,10 +163,13 @@
         if not dialled:
             channel.send(self._hello())
         now = self._clock()
-        if card.incarnation < self._newest.get(card.name, ''):
+        known = self.peers.get(card.name)
+        # The time of day may have jumped back since the last start, so an older
+        # start is believed once the newer one is silent.
+        is_older = card.incarnation < self._newest.get(card.name, '')
+        if is_older and known is not None and known.fresh(now, self.suspect_s):
             return
         self._newest[card.name] = card.incarnation
-        known = self.peers.get(card.name)
         if known is not None and known.card.incarnation != card.incarnation:
             if not known.channel.closed and known.channel is not channel:
                 known.channel.fail_pending()
--- a/src/primrosesaddle/peers.py
+++ b/src/primrosesaddle/peers.py
@@ -16,7 +16,8 @@
 REMOTE_NEIGHBOURS = 4
 STRANGERS = 1
 AGENTS_PER_NAME = 24
-ENTRIES_PER_ENTRY = 8
+ENTRIES_PER_ENTRY = 32
+ENTRIES_PER_AGENT = 32
 
 
 @dataclasses.dataclass
@@ -58,8 +59,8 @@
 def choose_links(card: wire.Card, candidates: Iterable[Candidate]) -> list[Candidate]:
     """Return the candidates that this process connects to itself.
 
-    An entry connects to a bounded set of agents for each served name and to a
-    few entries; an agent connects to a bounded set of neighbours.
+    An entry connects to a bounded set of agents for each served name and to
+    entries; an agent connects to entries and to a bounded set of neighbours.
     """
     known = [cand for cand in candidates if cand.address != card.address]
     chosen = [cand for cand in known if not cand.role]
@@ -72,6 +73,7 @@
             serving = [cand for cand in agents if cand.serves == name]
             chosen += _subset(card.name, serving, AGENTS_PER_NAME)
         return chosen
+    chosen += _subset(card.name, entries, ENTRIES_PER_AGENT)
     groups: dict[tuple[str, str], list[Candidate]] = {}
     for cand in agents:
         groups.setdefault((cand.serves, cand.region), []).append(cand)
--- a/src/primrosesaddle/platform/__main__.py
+++ b/src/primrosesaddle/platform/__main__.py
@@ -7,7 +7,15 @@
 
 from primrosesaddle import errors, journal
 from primrosesaddle.calls import doorway
-from primrosesaddle.platform import front, records, settings, store, wire
+from primrosesaddle.platform import (
+    engine,
+    front,
+    origin,
+    records,
+    settings,
+    store,
+    wire,
+)
 from primrosesaddle.process import adapter, agent, entry, run
 
 __all__ = ('main',)
@@ -40,7 +48,14 @@
     except errors.FaultGroup as exc:
         journal.error('settings.refused', faults=errors.describe(exc))
         sys.exit(2)
-    made = adapter.Adapter(records.decode, store.Store(cfg.store), _Fronts(), wire)
+    made = adapter.Adapter(
+        records.decode,
+        store.Store(cfg.store),
+        _Fronts(),
+        wire,
+        engine.Engine,
+        origin.Origin,
+    )
 
     def make() -> run.Process:
         if cfg.role == 'agent':
--- /dev/null
+++ b/src/primrosesaddle/platform/engine.py
@@ -0,0 +1,126 @@
+"""The model server beside an agent: its report, its staging area, its orders."""
+
+import typing
+
+import msgspec
+
+from primrosesaddle.net import call
+from primrosesaddle.platform import names, records
+from primrosesaddle.staging import keeper, pieces
+
+__all__ = ('Engine',)
+
+REPORT_TIMEOUT_S = 0.5  # on the same machine
+STAGE_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 2.0
+ACCEPTED = frozenset((200, 202))
+
+_Model = typing.TypeVar('_Model')
+
+
+class _Report(msgspec.Struct, rename='camel'):
+    models: list[records.Held] = msgspec.field(default_factory=list)
+    # Whether an order is being carried out, not whether requests run.
+    busy: bool = False
+    active: int = 0
+    queued: int = 0
+    # Over 1 when the server is slower than its profile.
+    pace: float = 1.0
+    born: int = 0
+
+
+class _Held(msgspec.Struct):
+    held: list[int] = msgspec.field(default_factory=list)
+
+
+class Engine:
+    """Calls to the model server of this machine."""
+
+    def __init__(self, address: str) -> None:
+        """Prepare calls to an IP:PORT address."""
+        self.address = address
+        self._client = call.Client(address)
+
+    async def report(self) -> keeper.EngineState:
+        """Return the engine's report.
+
+        Raises `call.CallFailed`.
+        """
+        answer = await self._call('GET', names.REPORT_PATH, REPORT_TIMEOUT_S)
+        found = _decode(answer.body, _Report)
+        return keeper.EngineState(
+            records.held_models(found.models),
+            found.busy,
+            found.active,
+            found.queued,
+            found.pace,
+            found.born,
+        )
+
+    async def held(self, model: str) -> set[int]:
+        """Return the indexes of the pieces that are staged.
+
+        Raises `call.CallFailed`.
+        """
+        target = f'{names.STAGE_GET_PATH}/{model}'
+        answer = await self._client.call('GET', target, STAGE_TIMEOUT_S)
+        if answer.status == 404:
+            return set()
+        _expect(answer, target)
+        return set(_decode(answer.body, _Held).held)
+
+    async def read_piece(self, model: str, index: int) -> bytes | None:
+        """Return a staged piece, or None.
+
+        Raises `call.CallFailed`.
+        """
+        target = f'{names.STAGE_GET_PATH}/{model}?{names.PIECE_INDEX}={index}'
+        answer = await self._client.call('GET', target, STAGE_TIMEOUT_S)
+        if answer.status == 404:
+            return None
+        _expect(answer, target)
+        return answer.body
+
+    async def write_piece(self, model: str, index: int, body: bytes) -> None:
+        """Stage a piece.
+
+        Raises `call.CallFailed`.
+        """
+        target = f'{names.STAGE_PUT_PATH}/{model}?{names.PIECE_INDEX}={index}'
+        await self._call('PUT', target, STAGE_TIMEOUT_S, body)
+
+    async def load(self, version: pieces.Version) -> bool:
+        """Order the staged version loaded, and return whether it was accepted.
+
+        Raises `call.CallFailed` when it is not known whether it was.
+        """
+        order = {
+            'op': 'start',
+            'model': version.model,
+            'version': version.number,
+            'switchMode': 'queue',
+        }
+        body = msgspec.json.encode(order)
+        answer = await self._client.call(
+            'POST', names.ORDER_PATH, ORDER_TIMEOUT_S, body, kept=False
+        )
+        return answer.status in ACCEPTED
+
+    async def _call(
+        self, method: str, target: str, timeout_s: float, body: bytes = b''
+    ) -> call.Answer:
+        answer = await self._client.call(method, target, timeout_s, body)
+        _expect(answer, target)
+        return answer
+
+
+def _expect(answer: call.Answer, target: str) -> None:
+    if answer.status >= 300:
+        raise call.CallFailed(f'{target}: status {answer.status}: {answer.body[:80]!r}')
+
+
+def _decode(body: bytes, model: type[_Model]) -> _Model:
+    try:
+        return msgspec.json.decode(body, type=model)
+    except msgspec.MsgspecError as exc:
+        raise call.CallFailed(f'malformed answer: {exc}') from None
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -79,6 +79,8 @@
 PIECE_PATH = f'{PATH}/piece'
 STAGE_PUT_PATH = f'{PATH}/stage-put'
 STAGE_GET_PATH = f'{PATH}/stage-get'
+# In a query, the index of one piece; the name suggests a count.
+PIECE_INDEX = 'sampleCount'
 RANGE_PATH = f'{PATH}/kv-range'
 WATCH_PATH = f'{PATH}/kv-watch'
 
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -105,7 +105,7 @@
     version: int = 0
 
 
-class _Held(msgspec.Struct):
+class Held(msgspec.Struct):
     name: str
     version: int
     layers: list[_Layers] | None = None
@@ -121,7 +121,7 @@
     state: typing.Literal['ready', 'draining']
     cold_remaining_ms: float
     sequence: _Count
-    models: list[_Held] = msgspec.field(default_factory=list)
+    models: list[Held] = msgspec.field(default_factory=list)
     born: _Count = 0
 
 
@@ -152,7 +152,7 @@
     return None
 
 
-def held_models(held: list[_Held]) -> dict[str, int]:
+def held_models(held: list[Held]) -> dict[str, int]:
     """Return the models that a server holds whole, with their versions."""
     return {
         model.name: model.version
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -8,6 +8,7 @@
 
 from primrosesaddle.calls import doorway, relay
 from primrosesaddle.fleet import reader, view
+from primrosesaddle.staging import depot, keeper
 
 __all__ = ('Adapter', 'Front')
 
@@ -39,3 +40,5 @@
     source: reader.Source
     front: Front
     wire: relay.Wire
+    engine: Callable[[str], keeper.Engine]
+    origin: Callable[[str], depot.Origin]
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -1,13 +1,17 @@
-"""The agent: keeps the weights of the engine beside it."""
+"""The agent: keeps the weights of the engine beside it, and reports on it."""
 
 import asyncio
+import random
 
-from primrosesaddle import kernel, metrics
-from primrosesaddle.fleet import node
+from primrosesaddle import kernel, link, metrics, peers, wire
+from primrosesaddle.fleet import mesh, node
 from primrosesaddle.process import adapter, listen
+from primrosesaddle.staging import depot, keeper, pieces
 
 __all__ = ('Agent', 'make_agent')
 
+STOP_S = 0.2  # for peers to hear that this agent leaves
+
 
 class Agent:
     """One agent: its services, and how it leaves."""
@@ -19,14 +23,70 @@
         self._clock = asyncio.get_running_loop().time
         self._adapter = made
         self._metrics = metrics.make_metrics()
+        rand = random.Random()
+        self._mesh = mesh.make_mesh(cfg, None, rand)
+        self._mesh.mates.joined.append(self._joined)
+        self._goal: wire.Goal | None = None
+        self._origin: depot.Origin | None = None
+        self._origin_address = ''
+        sources = depot.Sources(
+            self._homes, lambda: self._origin, lambda: self._origin_region
+        )
+        store = depot.Depot(cfg.name, cfg.region, sources, rand)
+        self._keeper: keeper.Keeper | None = None
+        if cfg.server is not None:
+            self._keeper = keeper.Keeper(
+                made.engine(cfg.server),
+                store,
+                cfg.name,
+                cfg.bounds.version_s,
+                self._tell,
+                self._clock,
+            )
+        self._mesh.board.on(wire.Goal, self._take_goal)
+        self._metrics.gauge('origin_bytes', lambda: store.origin_bytes)
+        self._metrics.gauge('peer_bytes', lambda: store.peer_bytes)
 
     async def start(self) -> None:
         """Start every service."""
+        self._mesh.start()
+        if self._keeper is not None:
+            self.kernel.spawn(self._keeper.run(), 'keeper')
         listen.serve_metrics(self._metrics, self.cfg)
 
     async def stop(self) -> None:
         """Stop every service."""
+        self._mesh.leave()
+        await asyncio.sleep(STOP_S)
         await self.kernel.stop()
+        await self._mesh.stop()
+
+    @property
+    def _origin_region(self) -> str:
+        return self._goal.origin_region if self._goal is not None else ''
+
+    def _homes(self) -> list[depot.Peer]:
+        return [
+            depot.Peer(peer.card.name, peer.card.region, peer.channel)
+            for peer in self._mesh.entries()
+        ]
+
+    def _tell(self, state: wire.ServerState) -> None:
+        for peer in self._mesh.mates.alive('entry'):
+            peer.channel.send(state)
+
+    def _joined(self, peer: peers.Peer) -> None:
+        if self._keeper is not None:
+            self._keeper.look_again()
+
+    def _take_goal(self, channel: link.Channel, rid: int, body: wire.Goal) -> None:
+        self._goal = body
+        if body.origin != self._origin_address:
+            self._origin_address = body.origin
+            self._origin = self._adapter.origin(body.origin)
+        if self._keeper is not None:
+            version = pieces.Version(body.model, body.version)
+            self._keeper.aim(keeper.make_goal(version, body.age_s, self._clock))
 
 
 def make_agent(cfg: node.Node, made: adapter.Adapter) -> Agent:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -5,7 +5,7 @@
 
 from tornado import httpserver, httputil
 
-from primrosesaddle import journal, kernel, metrics
+from primrosesaddle import journal, kernel, link, metrics, wire
 from primrosesaddle.calls import (
     admission,
     backends,
@@ -14,9 +14,10 @@
     placement,
     relay,
 )
-from primrosesaddle.fleet import node, reader, view
+from primrosesaddle.fleet import mesh, node, reader, view
 from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, listen
+from primrosesaddle.process import adapter, goals, listen
+from primrosesaddle.staging import depot
 
 __all__ = ('Entry', 'make_entry')
 
@@ -27,6 +28,7 @@
 LATE_CALLERS = 3  # some callers keep a directory answer this many times as long
 SWEEP_S = 0.2
 STOP_MARGIN_S = 0.6  # before the platform ends a process that is still there
+MAX_ADDRESSES = 64  # callers take no more
 QUIET_S = 0.3  # without a call, after the last caller may have come
 
 
@@ -42,6 +44,8 @@
         self._adapter = made
         self._view = view.View(made.decode, self._clock)
         self._metrics = metrics.make_metrics()
+        self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
+        self._mesh.ready = lambda: self.ready
         self._table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
@@ -53,6 +57,24 @@
         self._door = doorway.Doorway(self._view, self._relay)
         self._reader = reader.Reader(made.source, self._view, self._rand, self._clock)
         self._servers: list[httpserver.HTTPServer] = []
+        self._origin: depot.Origin | None = None
+        self._origin_address = ''
+        self._depot = depot.Depot(
+            cfg.name,
+            cfg.region,
+            depot.Sources(
+                self._homes, lambda: self._origin, lambda: self._goals.origin_region()
+            ),
+            self._rand,
+        )
+        self._goals = goals.Goals(self._view, self._mesh, self._depot, self._clock)
+        self._mesh.mates.joined.append(self._goals.tell)
+        self._mesh.board.on(wire.ServerState, self._hear_server)
+        self._mesh.board.on(wire.Want, self._depot.serve)
+        self._metrics.gauge('origin_bytes', lambda: self._depot.origin_bytes)
+        self._metrics.gauge('peer_bytes', lambda: self._depot.peer_bytes)
+        self._metrics.gauge('in_flight', lambda: self._door.in_flight)
+        self._metrics.gauge('waiting', self._queue.waiting)
 
     @property
     def ready(self) -> bool:
@@ -66,6 +88,9 @@
         spawn(self._queue.run(), 'admission')
         spawn(self._relay.watch(), 'relay')
         spawn(self._sweep(), 'sweep')
+        spawn(self._mesh.run(), 'mesh')
+        spawn(self._goals.run(), 'goals')
+        self._mesh.start()
         front = self._adapter.front
         self._listen(front.calls(self._door), self.cfg.listen.callers)
         self._listen(front.ready(lambda: self.ready), self.cfg.listen.ready)
@@ -79,6 +104,7 @@
         """Leave: take no new callers, end what has begun, then stop."""
         began = self._clock()
         self._door.leaving = True
+        self._mesh.leave()
         journal.info('entry.leaving', in_flight=self._door.in_flight)
         ttl_s = DIRECTORY_TTL_S * LATE_CALLERS
         last_s = self.cfg.bounds.grace_s - STOP_MARGIN_S
@@ -93,6 +119,7 @@
         for server in self._servers:
             server.stop()
         await self.kernel.stop()
+        await self._mesh.stop()
         self._kept.close()
 
     def _listen(
@@ -102,9 +129,11 @@
             self._servers.append(listen.serve(app, address))
 
     def _addresses(self, region: str, data_centre: str) -> list[str]:
-        if not self.ready or self.cfg.listen.callers is None:
-            return []
-        return [self.cfg.listen.callers]
+        found = [peer.card.callers for peer in self._mesh.entries()]
+        if self.ready and self.cfg.listen.callers is not None:
+            found.append(self.cfg.listen.callers)
+        self._rand.shuffle(found)
+        return [address for address in found if address][:MAX_ADDRESSES]
 
     def _required(self, model: str) -> int:
         return self._view.required(
@@ -127,7 +156,7 @@
             bounds.retry_ratio,
             bounds.retry_window_s,
             bounds.retry_extra,
-            lambda: max(1, len(self.cfg.seeds)),
+            self._mesh.entry_count,
             self._clock,
         )
         return relay.Relay(
@@ -144,9 +173,36 @@
             )
         )
 
+    def _homes(self) -> list[depot.Peer]:
+        homes = [
+            depot.Peer(peer.card.name, peer.card.region, peer.channel)
+            for peer in self._mesh.entries()
+        ]
+        return [*homes, depot.Peer(self.cfg.name, self.cfg.region, None)]
+
+    def _hear_server(
+        self, channel: link.Channel, rid: int, body: wire.ServerState
+    ) -> None:
+        report = backends.Report(
+            self._clock(),
+            body.active,
+            body.queued,
+            body.models,
+            body.switching,
+            body.pace,
+            body.reachable,
+            body.born_ms,
+        )
+        self._table.hear(body.address, report)
+
     def _update(self) -> None:
-        self._table.update(self._view.servers.values())
         conf = self._view.configuration
+        origin = conf.origin if conf is not None else None
+        if origin is not None and origin.address != self._origin_address:
+            self._origin_address = origin.address
+            self._origin = self._adapter.origin(origin.address)
+        self._goals.update()
+        self._table.update(self._view.servers.values())
         for service in conf.services if conf is not None else ():
             self._queue.pump(service)
 
--- /dev/null
+++ b/src/primrosesaddle/process/goals.py
@@ -0,0 +1,96 @@
+"""Goals: which version of which model the agents of a service shall bring about."""
+
+import asyncio
+from collections.abc import Callable
+
+from primrosesaddle import journal, peers, wire
+from primrosesaddle.fleet import mesh, view
+from primrosesaddle.staging import depot, pieces
+
+__all__ = ('Goals',)
+
+FIRST_VERSION = 1  # in force until the operator names one
+REFRESH_S = 2.0  # for agents that missed a message
+
+
+class Goals:
+    """Tell agents the versions they shall bring about, and read pieces ahead."""
+
+    def __init__(
+        self,
+        seen: view.View,
+        links: mesh.Mesh,
+        store: depot.Depot,
+        clock: Callable[[], float],
+    ) -> None:
+        """Tell over the links of an entry what its view holds."""
+        self._view = seen
+        self._links = links
+        self._depot = store
+        self._clock = clock
+        self._told: list[tuple[str, int]] = []
+        self._ahead: dict[str, asyncio.Task[None]] = {}
+
+    def update(self) -> None:
+        """Tell the agents when a version was named, and read it ahead."""
+        found = [(goal.model, goal.version) for _, goal in self._goals()]
+        if found == self._told:
+            return
+        self._told = found
+        self.tell_all()
+        for model, number in found:
+            if self._view.newest(model):
+                self._read_ahead(pieces.Version(model, number))
+
+    def tell(self, peer: peers.Peer) -> None:
+        """Tell one agent the goals of its service."""
+        if peer.card.role != 'agent':
+            return
+        for service, goal in self._goals():
+            if service == peer.card.serves:
+                peer.channel.send(goal)
+
+    def tell_all(self) -> None:
+        """Tell every agent."""
+        for peer in self._links.mates.alive('agent'):
+            self.tell(peer)
+
+    async def run(self) -> None:
+        """Tell every agent again now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            self.tell_all()
+
+    def origin_region(self) -> str:
+        """Return the region of the origin, empty when it is not known."""
+        conf = self._view.configuration
+        origin = conf.origin if conf is not None else None
+        if origin is None:
+            return ''
+        return self._links.region_of(origin.data_centre)
+
+    def _goals(self) -> list[tuple[str, wire.Goal]]:
+        conf = self._view.configuration
+        if conf is None or conf.origin is None:
+            return []
+        ages_s = self._view.named_ages()
+        goals = []
+        for service in conf.services.values():
+            for model in service.engine.models if service.engine else ():
+                version = max(FIRST_VERSION, self._view.newest(model))
+                goal = wire.Goal(
+                    model,
+                    version,
+                    ages_s.get(f'{model}@{version}', 0.0),
+                    conf.origin.address,
+                    self.origin_region(),
+                )
+                goals.append((service.name, goal))
+        return goals
+
+    def _read_ahead(self, version: pieces.Version) -> None:
+        if version.mark in self._ahead:
+            return
+        journal.info('depot.reading_ahead', version=version.mark)
+        task = asyncio.create_task(self._depot.prefetch(version))
+        self._ahead[version.mark] = task
--- /dev/null
+++ b/src/primrosesaddle/staging/__init__.py
@@ -0,0 +1,1 @@
+"""Weights on their way from the origin to the engines."""
--- /dev/null
+++ b/src/primrosesaddle/staging/depot.py
@@ -0,0 +1,236 @@
+"""The depot: pieces that an entry reads once and passes on to agents.
+
+Every piece has a home among the entries of a region. The homes in the origin's
+region read from the origin, the homes elsewhere from those, and agents from the
+homes in their own region, so that each piece leaves the origin once and enters
+each region once.
+"""
+
+import asyncio
+import collections
+import random
+import typing
+from collections.abc import Awaitable, Callable, Sequence
+
+from primrosesaddle import journal, link, rendezvous, wire
+from primrosesaddle.net import call
+from primrosesaddle.staging import pieces
+
+__all__ = ('Depot', 'Origin', 'Peer', 'Sources')
+
+KEPT_VERSIONS = 3  # the newest, the one before, and one that is being superseded
+PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
+RETRY_S = 0.1
+PREFETCH_PARALLEL = 6  # fills the origin's link without holding many connections
+BAD_PIECES = 4  # of one version, before its digests are read again
+MANIFEST = -1
+
+
+class Origin(typing.Protocol):
+    """Where weights come from."""
+
+    async def digests(self, version: pieces.Version) -> pieces.Digests:
+        """Read the digests of a version's pieces."""
+
+    async def piece(self, version: pieces.Version, index: int) -> bytes:
+        """Read a piece."""
+
+
+class Peer(typing.NamedTuple):
+    """An entry that may hold pieces."""
+
+    name: str
+    region: str
+    channel: link.Channel | None
+
+
+class Sources(typing.NamedTuple):
+    """Where a depot may read: entries by region, and the origin."""
+
+    peers: Callable[[], Sequence[Peer]]
+    origin: Callable[[], Origin | None]
+    origin_region: Callable[[], str]
+
+
+class Depot:
+    """Read pieces once, check them, keep them and pass them on."""
+
+    def __init__(
+        self, name: str, region: str, sources: Sources, rand: random.Random
+    ) -> None:
+        """Create the empty depot of a process; an agent is no home of any piece."""
+        self._name = name
+        self._region = region
+        self._sources = sources
+        self._rand = rand
+        self._digests: dict[pieces.Version, pieces.Digests] = {}
+        self._held: dict[pieces.Version, dict[int, bytes]] = {}
+        self._reading: dict[tuple[pieces.Version, int], asyncio.Task[None]] = {}
+        self._bad: collections.Counter[pieces.Version] = collections.Counter()
+        self._serving: set[asyncio.Task[None]] = set()
+        self.origin_bytes = 0
+        self.peer_bytes = 0
+
+    async def digests(self, version: pieces.Version) -> pieces.Digests:
+        """Return the digests of a version, read as often as it takes."""
+        while True:
+            known = self._digests.get(version)
+            if known is not None:
+                return known
+            await self._read_once(version, MANIFEST)
+
+    async def piece(self, version: pieces.Version, index: int) -> bytes:
+        """Return a checked piece, read as often as it takes."""
+        while True:
+            body = self._held.get(version, {}).get(index)
+            if body is not None:
+                return body
+            await self._read_once(version, index)
+
+    async def prefetch(self, version: pieces.Version) -> None:
+        """Read the pieces of which this process is the home, a few at once."""
+        digests = await self.digests(version)
+        mine = [
+            index
+            for index in range(len(digests.pieces))
+            if self._home(version, index, self._region) == self._name
+        ]
+        gate = asyncio.Semaphore(PREFETCH_PARALLEL)
+
+        async def read(index: int) -> None:
+            async with gate:
+                await self.piece(version, index)
+
+        await asyncio.gather(*(read(index) for index in mine))
+        journal.info('depot.filled', version=version.mark, pieces=len(mine))
+
+    def drop(self, version: pieces.Version, index: int) -> None:
+        """Forget a piece that a receiver found spoilt."""
+        self._held.get(version, {}).pop(index, None)
+
+    def serve(self, channel: link.Channel, rid: int, body: wire.Want) -> None:
+        """Answer a peer that wants digests or a piece."""
+        task = asyncio.create_task(self._serve(channel, rid, body))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _serve(self, channel: link.Channel, rid: int, body: wire.Want) -> None:
+        version = pieces.parse_mark(body.manifest)
+        if version is None:
+            channel.send(wire.Chunk(False, b''), rid, reply=True)
+            return
+        try:
+            found = await asyncio.wait_for(
+                self._wanted(version, body.index), PEER_TIMEOUT_S
+            )
+        except TimeoutError:
+            found = b''
+        channel.send(wire.Chunk(bool(found), found), rid, reply=True)
+
+    async def _wanted(self, version: pieces.Version, index: int) -> bytes:
+        digests = await self.digests(version)
+        if index == MANIFEST:
+            return '\n'.join(digests.pieces).encode()
+        if not 0 <= index < len(digests.pieces):
+            return b''
+        return await self.piece(version, index)
+
+    async def _read_once(self, version: pieces.Version, index: int) -> None:
+        """Read digests or a piece, or wait for the read that is under way."""
+        key = (version, index)
+        task = self._reading.get(key)
+        if task is None:
+            task = asyncio.create_task(self._read(version, index))
+            self._reading[key] = task
+            task.add_done_callback(lambda _: self._reading.pop(key, None))
+        await asyncio.shield(task)
+
+    async def _read(self, version: pieces.Version, index: int) -> None:
+        try:
+            body = await self._read_from(version, index)
+        except (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError) as exc:
+            journal.info(
+                'piece.unread', version=version.mark, index=index, error=repr(exc)
+            )
+            body = b''
+        if index == MANIFEST:
+            if not body:
+                await asyncio.sleep(RETRY_S)
+            return
+        digests = self._digests.get(version)
+        if digests is None or not body:
+            await asyncio.sleep(RETRY_S)
+            return
+        if pieces.is_piece(digests, index, body):
+            self._held.setdefault(version, {})[index] = body
+            return
+        journal.warning('piece.spoilt', version=version.mark, index=index)
+        self._bad[version] += 1
+        if self._bad[version] % BAD_PIECES == 0:
+            # The digests themselves may have come spoilt.
+            self._digests.pop(version, None)
+            await self._read_once(version, MANIFEST)
+
+    async def _read_from(self, version: pieces.Version, index: int) -> bytes:
+        for peer in self._upstreams(version, index):
+            if peer.channel is None:
+                return await self._read_origin(version, index)
+            ask = wire.Want(version.mark, index)
+            try:
+                body = await peer.channel.request(ask, PEER_TIMEOUT_S)
+            except (TimeoutError, link.ChannelClosed) as exc:
+                journal.info('piece.no_answer', peer=peer.name, error=repr(exc))
+                continue
+            if isinstance(body, wire.Chunk) and body.found:
+                self.peer_bytes += len(body.body)
+                if index == MANIFEST:
+                    self._keep(version, body.body.decode().split('\n'))
+                return body.body
+        return b''
+
+    async def _read_origin(self, version: pieces.Version, index: int) -> bytes:
+        origin = self._sources.origin()
+        if origin is None:
+            raise call.CallFailed('no origin is known')
+        if index == MANIFEST:
+            found = await origin.digests(version)
+            self._keep(version, found.pieces)
+            return b'read'
+        body = await origin.piece(version, index)
+        self.origin_bytes += len(body)
+        return body
+
+    def _keep(self, version: pieces.Version, found: Sequence[str]) -> None:
+        self._digests[version] = pieces.Digests(version, tuple(found))
+        self._held.setdefault(version, {})
+        while len(self._held) > KEPT_VERSIONS:
+            oldest = min(self._held, key=lambda held: held.number)
+            self._held.pop(oldest)
+            self._digests.pop(oldest, None)
+
+    def _upstreams(self, version: pieces.Version, index: int) -> list[Peer]:
+        """Return where to read, in order; a peer without a channel is the origin."""
+        everyone = self._sources.peers()
+        origin = Peer('origin', self._sources.origin_region(), None)
+        mine = self._ordered(version, index, everyone, self._region)
+        if mine and mine[0].name != self._name:
+            return [*[peer for peer in mine if peer.name != self._name][:2], origin]
+        if not mine or self._region != origin.region:
+            near = self._ordered(version, index, everyone, origin.region)
+            return [*near[:2], origin]
+        return [origin]
+
+    def _home(self, version: pieces.Version, index: int, region: str) -> str:
+        ordered = self._ordered(version, index, self._sources.peers(), region)
+        return ordered[0].name if ordered else ''
+
+    def _ordered(
+        self,
+        version: pieces.Version,
+        index: int,
+        everyone: Sequence[Peer],
+        region: str,
+    ) -> list[Peer]:
+        by_name = {peer.name: peer for peer in everyone if peer.region == region}
+        ordered = rendezvous.order(f'{version.mark}:{index}', by_name)
+        return [by_name[name] for name in ordered]
--- a/src/primrosesaddle/wire.py
+++ b/src/primrosesaddle/wire.py
@@ -191,6 +191,64 @@
     """Answer to a message on a connection that has not been introduced."""
 
 
+class Known(msgspec.Struct, array_like=True, frozen=True):
+    """A process that the sender has heard from lately."""
+
+    name: str
+    role: str
+    address: str
+    region: str
+    data_centre: str
+    serves: str = ''
+
+
+class Roster(msgspec.Struct, tag=21, array_like=True, frozen=True):
+    """Processes to connect to; it adds to what the receiver knows."""
+
+    known: tuple[Known, ...]
+
+
+class PullItems(msgspec.Struct, tag=22, array_like=True, frozen=True):
+    """Request for the published items past a revision."""
+
+    after: int
+
+
+class Items(msgspec.Struct, tag=23, array_like=True, frozen=True):
+    """Published items up to a revision; a body is None where one was removed.
+
+    `whole` tells that items which are missing here are gone.
+    """
+
+    items: tuple[tuple[str, bytes | None, int], ...]
+    revision: int
+    whole: bool
+    named_ages_s: dict[str, float]
+
+
+class ServerState(msgspec.Struct, tag=24, array_like=True, frozen=True):
+    """What an agent sees of the server beside it, at an address."""
+
+    address: str
+    born_ms: int
+    reachable: bool
+    active: int = 0
+    queued: int = 0
+    models: dict[str, int] = {}
+    switching: bool = False
+    pace: float = 1.0
+
+
+class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
+    """The version that servers of a model shall hold, named `age_s` ago."""
+
+    model: str
+    version: int
+    age_s: float
+    origin: str
+    origin_region: str
+
+
 Body = (
     Hello
     | Heartbeat
@@ -212,6 +270,11 @@
     | Forwarded
     | Yes
     | Unknown
+    | Roster
+    | PullItems
+    | Items
+    | ServerState
+    | Goal
 )
 
 
