--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -17,7 +17,9 @@
 TIE_S = 0.002
 FAILURE_COST_S = 1.0  # a certain failure weighs like this much waiting
 PLAIN_WORK_S = 0.02  # of one call at a plain service, for weighing its queue
-UNREPORTED_SLOTS_SHARE = 1.0
+# Prompts that this entry has unread at one engine; they hold up all that it writes
+# for 30 ms at 32 tokens a millisecond.
+MAX_UNREAD_TOKENS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +30,14 @@
     predicted_s: float
     version: int
 
+    def describe(self, now: float) -> str:
+        """Return what decided, for the log: prediction, load and its age."""
+        backend = self.backend
+        report = backend.report
+        age_s = round(now - report.at, 2) if report is not None else -1
+        running = backend.running(now)
+        return f'{self.predicted_s:.3f}/{running}/{backend.pending_tokens()}/{age_s}'
+
 
 class Placer:
     """Choose among the servers of a service that have a free place."""
@@ -61,8 +71,7 @@
         best: Choice | None = None
         best_score = 0.0
         for backend in self.usable(call, service, required):
-            slots = backend.record.slots or 1
-            if backend.running(now) >= slots:
+            if not self._has_place(backend, call, service, now):
                 continue
             predicted_s = self._predict_s(backend, call, service, now)
             score = predicted_s + self._distance_s(backend)
@@ -105,6 +114,21 @@
                 taken += min(slots, backend.running(now))
         return taken, total
 
+    def _has_place(
+        self,
+        backend: backends.Backend,
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> bool:
+        """Tell whether a server has a free place and little left to read."""
+        if backend.running(now) >= (backend.record.slots or 1):
+            return False
+        if service.engine is None:
+            return True
+        unread = backend.pending_tokens()
+        return not unread or unread + call.cost.prompt <= MAX_UNREAD_TOKENS
+
     def _predict_s(
         self,
         backend: backends.Backend,
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -202,6 +202,7 @@
         service = self._service_of(call)
         while True:
             choice = await self._parts.queue.place(call, service)
+            call.placed = choice.describe(self._clock())
             attempt = _Attempt(self._parts, call, choice)
             try:
                 done = await self._run(attempt, call, sink, cutter, service)
@@ -322,6 +323,7 @@
         if not call.answering and attempt.head is not None:
             call.answering = True
             first_s = self._clock() - call.arrived
+            call.first_s = first_s
             self._parts.metrics.latency('first_event', str(call.rank), first_s)
             sink.start(attempt.head, None)
 
@@ -489,6 +491,8 @@
             rank=call.rank,
             configuration=call.configuration,
             held_s=round(call.held_s, 3),
+            first_s=round(call.first_s, 3),
+            placed=call.placed,
             total_s=round(total_s, 3),
             tried=','.join(call.tried),
             verdict=call.worst.value,
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -43,6 +43,8 @@
     refused_by: list[str] = dataclasses.field(default_factory=list)
     worst: verdict.Verdict = verdict.Verdict.NOT_RUN
     held_s: float = 0.0
+    first_s: float = 0.0
+    placed: str = ''
     answering: bool = False
 
     @property
--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -29,10 +29,6 @@
     born: int = 0
 
 
-class _Held(msgspec.Struct):
-    held: list[int] = msgspec.field(default_factory=list)
-
-
 class Engine:
     """Calls to the model server of this machine."""
 
@@ -57,18 +53,6 @@
             found.born,
         )
 
-    async def held(self, model: str) -> set[int]:
-        """Return the indexes of the pieces that are staged.
-
-        Raises `call.CallFailed`.
-        """
-        target = f'{names.STAGE_GET_PATH}/{model}'
-        answer = await self._client.call('GET', target, STAGE_TIMEOUT_S)
-        if answer.status == 404:
-            return set()
-        _expect(answer, target)
-        return set(_decode(answer.body, _Held).held)
-
     async def read_piece(self, model: str, index: int) -> bytes | None:
         """Return a staged piece, or None.
 
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -38,7 +38,6 @@
             self._keeper = keeper.Keeper(
                 made.engine(cfg.server),
                 store,
-                cfg.name,
                 cfg.bounds.version_s,
                 self._tell,
                 self._clock,
@@ -86,7 +85,7 @@
             self._origin = self._adapter.origin(body.origin)
         if self._keeper is not None:
             version = pieces.Version(body.model, body.version)
-            self._keeper.aim(keeper.make_goal(version, body.age_s, self._clock))
+            self._keeper.aim(keeper.make_goal(version, body, self._clock))
 
 
 def make_agent(cfg: node.Node, made: adapter.Adapter) -> Agent:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -23,7 +23,7 @@
 
 # Before the bound of a version, nothing is sent to older weights any more: a call
 # may wait at its server for about this long before it begins.
-VERSION_MARGIN_S = 1.5
+VERSION_MARGIN_S = 0.8
 DIRECTORY_TTL_S = 1.0  # callers learn of an entry that leaves within this time
 LATE_CALLERS = 3  # some callers keep a directory answer this many times as long
 SWEEP_S = 0.2
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from primrosesaddle import journal, peers, wire
+import msgspec
+
+from primrosesaddle import journal, peers, rendezvous, wire
 from primrosesaddle.fleet import mesh, view
 from primrosesaddle.staging import depot, pieces
 
@@ -48,7 +50,8 @@
             return
         for service, goal in self._goals():
             if service == peer.card.serves:
-                peer.channel.send(goal)
+                place = self._place(service, goal, peer.card.name)
+                peer.channel.send(msgspec.structs.replace(goal, place=place))
 
     def tell_all(self) -> None:
         """Tell every agent."""
@@ -69,6 +72,13 @@
             return ''
         return self._links.region_of(origin.data_centre)
 
+    def _place(self, service: str, goal: wire.Goal, name: str) -> float:
+        """Return an agent's place in the order in which servers switch."""
+        mark = pieces.Version(goal.model, goal.version).mark
+        agents = self._links.mates.alive('agent', service)
+        ordered = rendezvous.order(mark, [peer.card.name for peer in agents])
+        return ordered.index(name) / len(ordered) if name in ordered else 0.0
+
     def _goals(self) -> list[tuple[str, wire.Goal]]:
         conf = self._view.configuration
         if conf is None or conf.origin is None:
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -108,9 +108,10 @@
         await asyncio.gather(*(read(index) for index in mine))
         journal.info('depot.filled', version=version.mark, pieces=len(mine))
 
-    def drop(self, version: pieces.Version, index: int) -> None:
-        """Forget a piece that a receiver found spoilt."""
-        self._held.get(version, {}).pop(index, None)
+    def forget(self, version: pieces.Version) -> None:
+        """Drop all that is held of a version."""
+        self._held.pop(version, None)
+        self._digests.pop(version, None)
 
     def serve(self, channel: link.Channel, rid: int, body: wire.Want) -> None:
         """Answer a peer that wants digests or a piece."""
--- /dev/null
+++ b/src/primrosesaddle/staging/fetches.py
@@ -0,0 +1,87 @@
+"""Fetches of whole versions into an agent's memory, the newest first."""
+
+import asyncio
+from collections.abc import Callable
+
+from primrosesaddle import journal
+from primrosesaddle.staging import depot, pieces
+
+__all__ = ('Fetches',)
+
+# A fetch that brought nothing for this long is passed by an older version's.
+STALLED_S = 0.5
+POLL_S = 0.05
+
+
+class _Fetch:
+    """The fetch of one version."""
+
+    def __init__(self, now: float) -> None:
+        self.moved_at = now
+        self.total = 0
+        self.done = 0
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def whole(self) -> bool:
+        return self.total > 0 and self.done == self.total
+
+
+class Fetches:
+    """The versions that an agent fetches or holds."""
+
+    def __init__(self, source: depot.Depot, clock: Callable[[], float]) -> None:
+        """Fetch from a depot."""
+        self._source = source
+        self._clock = clock
+        self._fetches: dict[pieces.Version, _Fetch] = {}
+
+    def want(self, version: pieces.Version) -> None:
+        """Begin to fetch a version, unless that is under way or done."""
+        if version in self._fetches:
+            return
+        begun = _Fetch(self._clock())
+        self._fetches[version] = begun
+        begun.task = asyncio.create_task(self._run(version, begun))
+
+    def is_whole(self, version: pieces.Version) -> bool:
+        """Tell whether every piece of a version is held."""
+        found = self._fetches.get(version)
+        return found is not None and found.whole
+
+    def share(self, version: pieces.Version) -> float:
+        """Return the share of a version's pieces that is held."""
+        found = self._fetches.get(version)
+        return found.done / found.total if found is not None and found.total else 0.0
+
+    def drop_before(self, version: pieces.Version) -> None:
+        """Forget the versions of a model that are older than one."""
+        for known in list(self._fetches):
+            if known.model == version.model and known.number < version.number:
+                task = self._fetches.pop(known).task
+                if task is not None:
+                    task.cancel()
+                self._source.forget(known)
+
+    async def _run(self, version: pieces.Version, begun: _Fetch) -> None:
+        began = self._clock()
+        digests = await self._source.digests(version)
+        begun.total = len(digests.pieces)
+        for index in range(begun.total):
+            while self._newer_moves(version):
+                await asyncio.sleep(POLL_S)
+            await self._source.piece(version, index)
+            begun.done += 1
+            begun.moved_at = self._clock()
+        took_s = round(self._clock() - began, 3)
+        journal.info('version.fetched', version=version.mark, took_s=took_s)
+
+    def _newer_moves(self, version: pieces.Version) -> bool:
+        now = self._clock()
+        return any(
+            other.model == version.model
+            and other.number > version.number
+            and not fetch.whole
+            and now - fetch.moved_at < STALLED_S
+            for other, fetch in self._fetches.items()
+        )
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -5,23 +5,21 @@
 import typing
 from collections.abc import Callable
 
-import xxhash
-
 from primrosesaddle import journal, wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import depot, pieces
+from primrosesaddle.staging import depot, fetches, pieces
 
-__all__ = ('Engine', 'EngineState', 'Keeper')
+__all__ = ('Engine', 'EngineState', 'Goal', 'Keeper', 'make_goal')
 
 LOOK_S = 0.12  # between reports, which are free on the same machine
-WAVES = 2  # groups of servers that switch one after the other
-# Before the bound of a version, the last wave switches: running calls end and the
-# weights load in about this time.
-SWITCH_S = 1.5
-LAST_WAVE_MARGIN_S = 1.6
-ORDER_RETRY_S = 0.3
+# The last server switches this long before a version is required: calls that it
+# has taken have begun by then.
+LAST_TURN_MARGIN_S = 0.8
+ORDER_RETRY_S = 0.3  # an order that began shows in the report by then
 UNREACHABLE_LOOKS = 2  # failed reports in a row before a server counts as gone
-TELL_S = 0.2  # between reports to entries when nothing changed but the load
+TELL_S = 0.2  # between reports to entries when only the load changed
+NEARLY_WHOLE = 0.8  # share of the newest version from which an older is passed over
+KEPT_GOALS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,9 +42,6 @@
     async def report(self) -> EngineState:
         """Return the engine's report."""
 
-    async def held(self, model: str) -> set[int]:
-        """Return the indexes of the pieces that are staged."""
-
     async def read_piece(self, model: str, index: int) -> bytes | None:
         """Return a staged piece, or None."""
 
@@ -59,23 +54,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Goal:
-    """The version to hold; `named_at` is of this process's clock."""
+    """The version to hold; `named_at` is of this process's clock.
+
+    `place` is this server's, from 0 to 1, in the order in which servers switch.
+    """
 
     version: pieces.Version
     named_at: float
+    place: float = 0.0
 
 
 Tell = Callable[[wire.ServerState], None]
 
 
 class Keeper:
-    """Report on the engine, stage the wanted version, and switch in turn."""
+    """Report on the engine, fetch the wanted version, and switch in turn."""
 
     def __init__(
         self,
         engine: Engine,
         source: depot.Depot,
-        name: str,
         bound_s: float,
         tell: Tell,
         clock: Callable[[], float],
@@ -83,33 +81,33 @@
         """Create a keeper; `bound_s` is the age at which a version is required."""
         self._engine = engine
         self._source = source
-        self._name = name
+        self._fetches = fetches.Fetches(source, clock)
         self._bound_s = bound_s
         self._tell = tell
         self._clock = clock
-        self._goal: Goal | None = None
+        self._goals: list[Goal] = []
         self._staged: pieces.Version | None = None
-        self._staging: asyncio.Task[None] | None = None
+        self._staged_at = 0.0
         self._state: EngineState | None = None
         self._failed_looks = 0
-        self._switching = False
+        self._switching: pieces.Version | None = None
         self._ordered_at = 0.0
         self._told: wire.ServerState | None = None
         self._told_at = 0.0
 
     def aim(self, goal: Goal) -> None:
-        """Take the version that is wanted; an older one is ignored."""
-        known = self._goal
-        if known is not None and known.version.model == goal.version.model:
-            if goal.version.number < known.version.number:
+        """Take a version that is wanted; an older one than the newest is ignored."""
+        newest = self._goals[-1] if self._goals else None
+        if newest is not None and newest.version.model == goal.version.model:
+            if goal.version.number < newest.version.number:
                 return
-            if goal.version.number == known.version.number:
-                if goal.named_at < known.named_at:
-                    self._goal = goal
+            if goal.version == newest.version:
+                named_at = min(goal.named_at, newest.named_at)
+                self._goals[-1] = dataclasses.replace(goal, named_at=named_at)
                 return
         journal.info('goal.set', version=goal.version.mark)
-        self._goal = goal
-        self._stop_staging()
+        self._goals.append(goal)
+        del self._goals[:-KEPT_GOALS]
 
     def look_again(self) -> None:
         """Tell the entries anew, as when one has just joined."""
@@ -119,8 +117,7 @@
         """Look after the engine until cancelled."""
         while True:
             await self._look()
-            if self._state is not None and self._goal is not None:
-                await self._advance(self._state, self._goal)
+            await self._advance()
             self._report()
             await asyncio.sleep(LOOK_S)
 
@@ -131,8 +128,7 @@
             self._failed_looks += 1
             if self._failed_looks == UNREACHABLE_LOOKS:
                 journal.warning('engine.lost', error=str(exc))
-                self._state = None
-                self._switching = False
+                self._forget_engine()
             return
         if self._failed_looks >= UNREACHABLE_LOOKS:
             journal.info('engine.regained', born_ms=state.born_ms)
@@ -140,46 +136,74 @@
         known = self._state
         if known is not None and known.born_ms != state.born_ms:
             journal.info('engine.restarted', born_ms=state.born_ms)
-            self._staged = None
-            self._switching = False
+            self._forget_engine()
         self._state = state
 
-    async def _advance(self, state: EngineState, goal: Goal) -> None:
-        wanted = goal.version
-        if state.models.get(wanted.model) == wanted.number:
-            if self._switching:
-                took_s = round(self._clock() - self._ordered_at, 3)
-                journal.info('version.loaded', version=wanted.mark, took_s=took_s)
-            self._switching = False
+    def _forget_engine(self) -> None:
+        self._state = None
+        self._staged = None
+        self._switching = None
+
+    async def _advance(self) -> None:
+        if not self._goals:
             return
-        if self._staged != wanted:
-            self._stage(wanted)
+        newest = self._goals[-1]
+        state = self._state
+        loaded = state.models.get(newest.version.model, 0) if state else 0
+        if loaded == newest.version.number:
+            self._note_loaded(newest.version)
             return
-        if state.busy or (self._switching and not self._order_failed(state)):
+        for goal in self._goals:
+            if goal.version.number > loaded:
+                self._fetches.want(goal.version)
+        goal = self._next_goal(loaded)
+        if state is None or goal is None or state.busy:
             return
-        if state.models.get(wanted.model) and self._clock() < self._turn(goal):
+        try:
+            await self._bring(state, goal, loaded)
+        except call.CallFailed as exc:
+            self._staged = None
+            journal.warning('engine.call_failed', error=str(exc))
+
+    def _next_goal(self, loaded: int) -> Goal | None:
+        """Return the newest goal that is fetched, unless a newer one nearly is."""
+        for goal in reversed(self._goals):
+            if goal.version.number <= loaded:
+                return None
+            if self._fetches.is_whole(goal.version):
+                return goal
+            if loaded and self._fetches.share(goal.version) > NEARLY_WHOLE:
+                return None
+        return None
+
+    async def _bring(self, state: EngineState, goal: Goal, loaded: int) -> None:
+        wanted = goal.version
+        if self._staged != wanted:
+            await self._stage(wanted)
+        if self._switching == wanted and not self._order_failed():
+            return
+        if loaded and self._clock() < self._turn(goal):
             return
         await self._switch(goal)
 
-    def _order_failed(self, state: EngineState) -> bool:
-        """Tell whether an accepted order shows no effect."""
-        return not state.busy and self._clock() - self._ordered_at > ORDER_RETRY_S
+    def _order_failed(self) -> bool:
+        """Tell whether an order that was sent shows no effect."""
+        return self._clock() - self._ordered_at > ORDER_RETRY_S
 
     def _turn(self, goal: Goal) -> float:
-        """Return when this server's wave may switch."""
-        key = f'{goal.version.mark}:{self._name}'
-        wave = xxhash.xxh3_64_intdigest(key.encode()) % WAVES
-        if not wave:
+        """Return when this server may switch, in its turn before the bound."""
+        if goal is not self._goals[-1]:
             return 0.0
-        last = goal.named_at + self._bound_s - LAST_WAVE_MARGIN_S
-        return last - SWITCH_S * (WAVES - 1 - wave)
+        last = goal.named_at + self._bound_s - LAST_TURN_MARGIN_S
+        spread_s = max(0.0, last - self._staged_at)
+        return self._staged_at + spread_s * goal.place
 
     async def _switch(self, goal: Goal) -> None:
         wanted = goal.version
         if not await self._verify(wanted):
             self._staged = None
             return
-        self._switching = True
+        self._switching = wanted
         self._report()
         self._ordered_at = self._clock()
         try:
@@ -189,70 +213,43 @@
             journal.warning('order.unanswered', version=wanted.mark, error=str(exc))
             return
         age_s = round(self._clock() - goal.named_at, 3)
-        journal.info(
-            'order.sent', version=wanted.mark, accepted=accepted, age_s=age_s
-        )
+        journal.info('order.sent', version=wanted.mark, accepted=accepted, age_s=age_s)
         if not accepted:
-            self._switching = False
+            self._switching = None
+
+    def _note_loaded(self, wanted: pieces.Version) -> None:
+        if self._switching is not None:
+            took_s = round(self._clock() - self._ordered_at, 3)
+            journal.info('version.loaded', version=wanted.mark, took_s=took_s)
+            self._switching = None
+            self._fetches.drop_before(wanted)
+
+    async def _stage(self, wanted: pieces.Version) -> None:
+        """Write every piece to the engine's staging area.
+
+        Raises `call.CallFailed`.
+        """
+        digests = await self._source.digests(wanted)
+        for index in range(len(digests.pieces)):
+            body = await self._source.piece(wanted, index)
+            await self._engine.write_piece(wanted.model, index, body)
+        self._staged = wanted
+        self._staged_at = self._clock()
+        journal.info('version.staged', version=wanted.mark)
 
     async def _verify(self, wanted: pieces.Version) -> bool:
-        """Read back every staged piece, and return whether all are sound."""
+        """Read back every staged piece, and return whether all are sound.
+
+        Raises `call.CallFailed`.
+        """
         digests = await self._source.digests(wanted)
         for index in range(len(digests.pieces)):
-            try:
-                body = await self._engine.read_piece(wanted.model, index)
-            except call.CallFailed as exc:
-                journal.info('engine.unread', index=index, error=str(exc))
-                return False
+            body = await self._engine.read_piece(wanted.model, index)
             if body is None or not pieces.is_piece(digests, index, body):
                 journal.warning('staged.spoilt', version=wanted.mark, index=index)
                 return False
         return True
 
-    def _stage(self, wanted: pieces.Version) -> None:
-        if self._staging is None or self._staging.done():
-            self._staging = asyncio.create_task(self._stage_all(wanted))
-
-    def _stop_staging(self) -> None:
-        if self._staging is not None:
-            self._staging.cancel()
-            self._staging = None
-
-    async def _stage_all(self, wanted: pieces.Version) -> None:
-        began = self._clock()
-        try:
-            digests = await self._source.digests(wanted)
-            missing = await self._missing(wanted, digests)
-            for index in missing:
-                body = await self._source.piece(wanted, index)
-                await self._engine.write_piece(wanted.model, index, body)
-                self._source.drop(wanted, index)
-        except call.CallFailed as exc:
-            journal.info('staging.failed', version=wanted.mark, error=str(exc))
-            return
-        self._staged = wanted
-        took_s = round(self._clock() - began, 3)
-        journal.info(
-            'version.staged',
-            version=wanted.mark,
-            fetched=len(missing),
-            took_s=took_s,
-        )
-
-    async def _missing(
-        self, wanted: pieces.Version, digests: pieces.Digests
-    ) -> list[int]:
-        """Return the pieces that are not staged, or not as published."""
-        held = await self._engine.held(wanted.model)
-        missing = []
-        for index in range(len(digests.pieces)):
-            body = None
-            if index in held:
-                body = await self._engine.read_piece(wanted.model, index)
-            if body is None or not pieces.is_piece(digests, index, body):
-                missing.append(index)
-        return missing
-
     def _report(self) -> None:
         state = self._state
         if state is None:
@@ -265,7 +262,7 @@
                 state.active,
                 state.queued,
                 state.models,
-                self._switching or (state.busy and not state.models),
+                self._switching is not None,
                 state.pace,
             )
         now = self._clock()
@@ -277,8 +274,7 @@
 
 
 def make_goal(
-    version: pieces.Version, age_s: float, clock: Callable[[], float]
+    version: pieces.Version, told: wire.Goal, clock: Callable[[], float]
 ) -> Goal:
-    """Return a goal that was named some seconds ago."""
-    return Goal(version, clock() - age_s)
-
+    """Return the goal that an entry told."""
+    return Goal(version, clock() - told.age_s, told.place)
--- a/src/primrosesaddle/wire.py
+++ b/src/primrosesaddle/wire.py
@@ -245,13 +245,17 @@
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
-    """The version that servers of a model shall hold, named `age_s` ago."""
+    """The version that servers of a model shall hold, named `age_s` ago.
+
+    `place` is the receiver's, from 0 to 1, in the order in which servers switch.
+    """
 
     model: str
     version: int
     age_s: float
     origin: str
     origin_region: str
+    place: float = 0.0
 
 
 Body = (
