Rank calls by workspace, then route; wait for a place only while on time

Cause: calls waited for the whole objective and were late by the time of their start; ranks of routes were lost behind those of workspaces.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -10,14 +10,15 @@
 
 __all__ = ('Admission',)
 
-RANKS = 10  # 0 is the most urgent
 TICK_S = 0.02  # between looks at what waits; servers free a place every 10 ms or so
 RATE_WINDOW_S = 2.0  # over which the rate of grants is measured
-LATE_HOLD_S = 0.25  # a call that can no longer be on time waits this long at most
+LEAST_HOLD_S = 0.03  # a call waits at least this long; it is no loss of time
 RESUME_HOLD_S = 1.5  # a broken stream waits; callers give up after two seconds
 LEAST_RETRY_S = 0.3
 MOST_RETRY_S = 2.0  # a caller waits a third of its time, two seconds of six
 START_MARGIN_S = 0.02  # for the way to the server and back
+START_WEIGHT = 0.05  # of the newest time from a place to the first byte
+START_DEVIATIONS = 1.0  # that a start may take longer than usual and be on time
 
 Required = Callable[[str], int]
 
@@ -35,9 +36,11 @@
 
     def __init__(self) -> None:
         self.ranks: list[collections.deque[_Waiter]] = [
-            collections.deque() for _ in range(RANKS)
+            collections.deque() for _ in range(routes.RANKS)
         ]
         self.granted: collections.deque[float] = collections.deque()
+        self.start_s = 0.0
+        self.start_deviation_s = 0.0
 
     def ahead_of(self, rank: int) -> int:
         return sum(len(waiting) for waiting in self.ranks[: rank + 1])
@@ -45,6 +48,12 @@
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.ranks)
 
+    def note_start(self, start_s: float) -> None:
+        """Take the time from a place to the first byte."""
+        gap_s = start_s - self.start_s
+        self.start_s += START_WEIGHT * gap_s
+        self.start_deviation_s += START_WEIGHT * (abs(gap_s) - self.start_deviation_s)
+
     def rate(self, now: float) -> float:
         """Return the grants a second of late."""
         while self.granted and now - self.granted[0] > RATE_WINDOW_S:
@@ -85,7 +94,7 @@
             if choice is not None:
                 self._grant(queue, call, choice, now)
                 return choice
-        hold_s = self._hold_s(call, service, now)
+        hold_s = self._hold_s(call, service, queue, now)
         rate = queue.rate(now)
         expected_s = (queue.ahead_of(call.rank) + 1) / rate if rate else 0.0
         if hold_s <= 0 or expected_s > hold_s:
@@ -97,6 +106,10 @@
         choice.backend.end(call)
         self.pump(choice.backend.record.service)
 
+    def note_start(self, service: str, start_s: float) -> None:
+        """Take the time from a call's place to its first byte."""
+        self._queues.setdefault(service, _Queue()).note_start(start_s)
+
     def pump(self, service: str) -> None:
         """Grant free places to what waits for a service."""
         queue = self._queues.get(service)
@@ -171,16 +184,22 @@
         queue.granted.append(now)
 
     def _hold_s(
-        self, call: request.Call, service: routes.Service, now: float
+        self,
+        call: request.Call,
+        service: routes.Service,
+        queue: _Queue,
+        now: float,
     ) -> float:
+        """Return how long a call may wait for a place and still be on time."""
         left_s = call.final_at - now
         if call.answering:
             return min(RESUME_HOLD_S, left_s / 2)
-        first_s = START_MARGIN_S
+        usual_s = START_MARGIN_S
         if service.engine is not None:
-            first_s += service.engine.event_s + service.engine.usual_read_s
-        on_time_s = call.on_time_until - now - first_s
-        return max(on_time_s, min(LATE_HOLD_S, left_s / 4))
+            usual_s += service.engine.event_s + service.engine.usual_read_s
+        start_s = queue.start_s + START_DEVIATIONS * queue.start_deviation_s
+        on_time_s = call.on_time_until - now - max(usual_s, start_s)
+        return max(on_time_s, min(LEAST_HOLD_S, left_s / 4))
 
     def _refusal(
         self, queue: _Queue, call: request.Call, reason: str
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -9,7 +9,6 @@
 __all__ = ('Asked', 'Doorway')
 
 NOT_READY_RETRY_S = 1.0  # a fresh process has a configuration within a second
-LOWEST_RANK = 9
 STATUS_UNKNOWN_KEY = 401
 STATUS_UNKNOWN_ROUTE = 404
 STATUS_MALFORMED = 400
@@ -100,9 +99,6 @@
     route: routes.Route,
     workspace: routes.Workspace | None,
 ) -> request.Call:
-    rank = route.rank
-    if workspace is not None and workspace.rank is not None:
-        rank = workspace.rank
     limit_s = route.timeout_s
     if asked.deadline_s is not None:
         limit_s = min(limit_s, asked.deadline_s)
@@ -114,7 +110,7 @@
         body=asked.body,
         route=route,
         workspace=workspace.name if workspace is not None else '',
-        rank=min(LOWEST_RANK, max(0, rank)),
+        rank=routes.rank_of(route, workspace),
         arrived=asked.arrived,
         final_at=asked.arrived + limit_s,
         configuration=conf.version,
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -10,8 +10,8 @@
 
 # Added to a prediction for a server elsewhere: the way there and back, and the
 # price of bytes between data centres.
-OTHER_DATA_CENTRE_S = 0.003
-OTHER_REGION_S = 0.008
+OTHER_DATA_CENTRE_S = 0.008
+OTHER_REGION_S = 0.02
 # Predictions closer than this are drawn between, so that entries that see the same
 # do not all choose the same.
 TIE_S = 0.002
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -324,6 +324,9 @@
             call.answering = True
             first_s = self._clock() - call.arrived
             call.first_s = first_s
+            started_s = self._clock() - attempt.began
+            service = attempt.choice.backend.record.service
+            self._parts.queue.note_start(service, started_s)
             self._parts.metrics.latency('first_event', str(call.rank), first_s)
             sink.start(attempt.head, None)
 
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 
 __all__ = (
+    'RANKS',
     'Configuration',
     'EngineProfile',
     'Kind',
@@ -17,6 +18,10 @@
 )
 
 
+RANKS = 10  # 0 is the most urgent
+_STEPS = 3  # ranks of routes that are told apart within a workspace's rank
+
+
 class Kind(enum.Enum):
     """What may be repeated of a call."""
 
@@ -111,6 +116,16 @@
     rank: int | None = None
 
 
+def rank_of(route: Route, workspace: Workspace | None) -> int:
+    """Return the rank of a call: the workspace's first, then the route's."""
+    own = min(_STEPS - 1, max(0, route.rank))
+    if workspace is None or workspace.rank is None:
+        first = route.rank
+    else:
+        first = workspace.rank
+    return min(RANKS - 1, max(0, first) * _STEPS + own)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what a caller sends; sizes in bytes, times in seconds."""
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -41,8 +41,7 @@
         self._told = found
         self.tell_all()
         for model, number in found:
-            if self._view.newest(model):
-                self._read_ahead(pieces.Version(model, number))
+            self._read_ahead(pieces.Version(model, number))
 
     def tell(self, peer: peers.Peer) -> None:
         """Tell one agent the goals of its service."""
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -9,7 +9,10 @@
 __all__ = ('Fetches',)
 
 # A fetch that brought nothing for this long is passed by an older version's.
-STALLED_S = 0.5
+STALLED_S = 0.3
+# An older version is finished first once this share of it is held: it serves if the
+# newer one is held up, and delays it by no more than the newer has until its bound.
+FINISH_SHARE = 0.3
 POLL_S = 0.05
 
 
@@ -68,7 +71,7 @@
         digests = await self._source.digests(version)
         begun.total = len(digests.pieces)
         for index in range(begun.total):
-            while self._newer_moves(version):
+            while self._newer_moves(version) or self._older_ends(version):
                 await asyncio.sleep(POLL_S)
             await self._source.piece(version, index)
             begun.done += 1
@@ -77,7 +80,10 @@
         journal.info('version.fetched', version=version.mark, took_s=took_s)
 
     def _newer_moves(self, version: pieces.Version) -> bool:
+        """Tell whether a fetch stands back for one of a newer version."""
         now = self._clock()
+        if self.share(version) >= FINISH_SHARE:
+            return False
         return any(
             other.model == version.model
             and other.number > version.number
@@ -85,3 +91,15 @@
             and now - fetch.moved_at < STALLED_S
             for other, fetch in self._fetches.items()
         )
+
+    def _older_ends(self, version: pieces.Version) -> bool:
+        """Tell whether a fetch waits for one of an older version that is well on."""
+        now = self._clock()
+        return any(
+            other.model == version.model
+            and other.number < version.number
+            and not fetch.whole
+            and self.share(other) >= FINISH_SHARE
+            and now - fetch.moved_at < STALLED_S
+            for other, fetch in self._fetches.items()
+        )
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -150,8 +150,8 @@
         newest = self._goals[-1]
         state = self._state
         loaded = state.models.get(newest.version.model, 0) if state else 0
+        self._note_loaded(loaded)
         if loaded == newest.version.number:
-            self._note_loaded(newest.version)
             return
         for goal in self._goals:
             if goal.version.number > loaded:
@@ -192,8 +192,6 @@
 
     def _turn(self, goal: Goal) -> float:
         """Return when this server may switch, in its turn before the bound."""
-        if goal is not self._goals[-1]:
-            return 0.0
         last = goal.named_at + self._bound_s - LAST_TURN_MARGIN_S
         spread_s = max(0.0, last - self._staged_at)
         return self._staged_at + spread_s * goal.place
@@ -217,12 +215,15 @@
         if not accepted:
             self._switching = None
 
-    def _note_loaded(self, wanted: pieces.Version) -> None:
-        if self._switching is not None:
-            took_s = round(self._clock() - self._ordered_at, 3)
-            journal.info('version.loaded', version=wanted.mark, took_s=took_s)
-            self._switching = None
-            self._fetches.drop_before(wanted)
+    def _note_loaded(self, loaded: int) -> None:
+        """Note that the version under way is loaded."""
+        wanted = self._switching
+        if wanted is None or loaded != wanted.number:
+            return
+        took_s = round(self._clock() - self._ordered_at, 3)
+        journal.info('version.loaded', version=wanted.mark, took_s=took_s)
+        self._switching = None
+        self._fetches.drop_before(wanted)
 
     async def _stage(self, wanted: pieces.Version) -> None:
         """Write every piece to the engine's staging area.
