Leave places for urgent calls; give callers that came back what is left

Cause: under overload the most urgent calls found no place at once and were refused, while callers that came back took the places of fresh calls.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -12,10 +12,15 @@
 
 TICK_S = 0.02  # between looks at what waits; servers free a place every 10 ms or so
 RATE_WINDOW_S = 2.0  # over which the rate of grants is measured
+# A call that came back after a refusal is late anyhow; it waits this long behind
+# the others.
+LATE_HOLD_S = 0.6
 LEAST_HOLD_S = 0.03  # a call waits at least this long; it is no loss of time
 RESUME_HOLD_S = 1.5  # a broken stream waits; callers give up after two seconds
-LEAST_RETRY_S = 0.3
-MOST_RETRY_S = 2.0  # a caller waits a third of its time, two seconds of six
+# A caller that comes back sooner meets the same overload, and it waits no more than
+# a third of the time that it has left.
+LEAST_RETRY_S = 0.1
+MOST_RETRY_S = 2.0
 START_MARGIN_S = 0.02  # for the way to the server and back
 START_WEIGHT = 0.05  # of the newest time from a place to the first byte
 START_DEVIATIONS = 1.0  # that a start may take longer than usual and be on time
@@ -89,14 +94,14 @@
         """
         now = self._clock()
         queue = self._queues.setdefault(service.name, _Queue())
-        if not queue.ahead_of(call.rank):
+        if not queue.ahead_of(_queue_rank(call)):
             choice = self._choose(call, service)
             if choice is not None:
                 self._grant(queue, call, choice, now)
                 return choice
         hold_s = self._hold_s(call, service, queue, now)
         rate = queue.rate(now)
-        expected_s = (queue.ahead_of(call.rank) + 1) / rate if rate else 0.0
+        expected_s = queue.ahead_of(_queue_rank(call)) / rate if rate else 0.0
         if hold_s <= 0 or expected_s > hold_s:
             raise self._refusal(queue, call, f'no_place: expected_s={expected_s:.2f}')
         return await self._wait(queue, call, service, now + hold_s)
@@ -148,7 +153,7 @@
         fut: 'asyncio.Future[placement.Choice]'
         fut = asyncio.get_running_loop().create_future()
         began = self._clock()
-        queue.ranks[call.rank].append(_Waiter(call, service, until, fut))
+        queue.ranks[_queue_rank(call)].append(_Waiter(call, service, until, fut))
         try:
             return await fut
         except asyncio.CancelledError:
@@ -199,13 +204,20 @@
             usual_s += service.engine.event_s + service.engine.usual_read_s
         start_s = queue.start_s + START_DEVIATIONS * queue.start_deviation_s
         on_time_s = call.on_time_until - now - max(usual_s, start_s)
-        return max(on_time_s, min(LEAST_HOLD_S, left_s / 4))
+        if on_time_s > 0:
+            return max(on_time_s, LEAST_HOLD_S)
+        return min(LATE_HOLD_S, left_s / 4) if call.spent_s else LEAST_HOLD_S
 
     def _refusal(
         self, queue: _Queue, call: request.Call, reason: str
     ) -> verdict.Refusal:
-        now = self._clock()
-        rate = queue.rate(now)
-        wait_s = queue.ahead_of(call.rank) / rate if rate else LEAST_RETRY_S
-        retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
+        left_s = call.final_at - self._clock()
+        retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, left_s / 3))
         return verdict.not_run(reason, 503, round(retry_s, 2))
+
+
+def _queue_rank(call: request.Call) -> int:
+    """Return the rank by which a call waits; one that came back waits last."""
+    if call.is_late:
+        return routes.RANKS - 1
+    return call.rank
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -55,6 +55,12 @@
         """Return the id of this start of the server."""
         return self.record.server_id
 
+    @property
+    def is_superseded(self) -> bool:
+        """Tell whether the agent saw a later start of a server at this address."""
+        report = self.report
+        return report is not None and report.born_ms > self.record.born_ms > 0
+
     def fresh_report(self, now: float) -> Report | None:
         """Return the agent's report unless it is stale."""
         report = self.report
@@ -77,6 +83,8 @@
     def hear(self, report: Report) -> None:
         """Take the agent's report."""
         self.report = report
+        if self.is_superseded:
+            return
         self.hear_load(report.active + report.queued, report.at)
 
     def hear_load(self, total: int, now: float) -> None:
@@ -132,7 +140,7 @@
         self._clock = clock
         self._by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
-        self._by_address: dict[str, Backend] = {}
+        self._by_address: dict[str, list[Backend]] = {}
         self._reports: dict[str, Report] = {}
         self.dropped: list[Callable[[Backend], None]] = []
 
@@ -154,8 +162,7 @@
     def hear(self, address: str, report: Report) -> None:
         """Take an agent's report on the server at an address."""
         self._reports[address] = report
-        backend = self._by_address.get(address)
-        if backend is not None:
+        for backend in self._by_address.get(address, ()):
             backend.hear(report)
 
     def of(self, service: str) -> list[Backend]:
@@ -169,7 +176,7 @@
     def serves(self, service: routes.Service, backend: Backend) -> bool:
         """Tell whether a server may be chosen now: known, trusted, not ejected."""
         now = self._clock()
-        if backend.dropped or now < backend.suspect_until:
+        if backend.dropped or now < backend.suspect_until or backend.is_superseded:
             return False
         report = backend.fresh_report(now)
         return report is None or report.reachable
@@ -194,6 +201,7 @@
         for backend in self._by_id.values():
             found.setdefault(backend.record.service, []).append(backend)
         self._by_service = found
-        self._by_address = {
-            backend.record.address: backend for backend in self._by_id.values()
-        }
+        places: dict[str, list[Backend]] = {}
+        for backend in self._by_id.values():
+            places.setdefault(backend.record.address, []).append(backend)
+        self._by_address = places
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -9,6 +9,9 @@
 __all__ = ('Asked', 'Doorway')
 
 NOT_READY_RETRY_S = 1.0  # a fresh process has a configuration within a second
+# Time limits of first attempts differ by up to a sixth of the longest.
+RETRY_SHARE = 0.25
+MAX_ROUTES = 4096  # whose time limits are remembered
 STATUS_UNKNOWN_KEY = 401
 STATUS_UNKNOWN_ROUTE = 404
 STATUS_MALFORMED = 400
@@ -40,6 +43,7 @@
         """Judge by a view, and serve by a relay."""
         self._view = seen
         self._relay = relay_calls
+        self._longest_s: dict[str, float] = {}
         self.leaving = False
 
     @property
@@ -80,7 +84,24 @@
         if not asked.call_id:
             raise verdict.not_run('no_request_id', STATUS_MALFORMED)
         workspace = self._workspace(conf, route, asked.key)
-        return _make_call(asked, conf, route, workspace)
+        call = _make_call(asked, conf, route, workspace)
+        call.spent_s = self._spent_s(route, asked.deadline_s)
+        return call
+
+    def _spent_s(self, route: routes.Route, deadline_s: float | None) -> float:
+        """Return what a caller spent before this attempt.
+
+        Callers of a route start with one time limit; an attempt that states less
+        of it is a later one.
+        """
+        if deadline_s is None:
+            return 0.0
+        longest_s = max(deadline_s, self._longest_s.get(route.name, 0.0))
+        self._longest_s[route.name] = longest_s
+        if len(self._longest_s) > MAX_ROUTES:
+            self._longest_s.pop(next(iter(self._longest_s)))
+        spent_s = longest_s - deadline_s
+        return spent_s if spent_s > RETRY_SHARE * longest_s else 0.0
 
     def _workspace(
         self, conf: routes.Configuration, route: routes.Route, key: str
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -17,6 +17,10 @@
 TIE_S = 0.002
 FAILURE_COST_S = 1.0  # a certain failure weighs like this much waiting
 PLAIN_WORK_S = 0.02  # of one call at a plain service, for weighing its queue
+# Places of a server that calls of a route's rank leave to more urgent ones.
+RESERVED_PLACES = (0, 1, 2)
+RESERVED_FROM_LATE = 5  # places that calls which came back late leave to others
+RESERVING_SLOTS = 8  # servers with fewer places reserve none
 # Prompts that this entry has unread at one engine; they hold up all that it writes
 # for 30 ms at 32 tokens a millisecond.
 MAX_UNREAD_TOKENS = 1000
@@ -122,7 +126,10 @@
         now: float,
     ) -> bool:
         """Tell whether a server has a free place and little left to read."""
-        if backend.running(now) >= (backend.record.slots or 1):
+        slots = backend.record.slots or 1
+        if slots >= RESERVING_SLOTS:
+            slots -= _reserved(call)
+        if backend.running(now) >= slots:
             return False
         if service.engine is None:
             return True
@@ -155,3 +162,10 @@
         if self._regions.get(there) == self._regions.get(self._data_centre):
             return OTHER_DATA_CENTRE_S
         return OTHER_REGION_S
+
+
+def _reserved(call: request.Call) -> int:
+    """Return the places of a server that a call leaves to others."""
+    if call.is_late:
+        return RESERVED_FROM_LATE
+    return RESERVED_PLACES[call.rank % len(RESERVED_PLACES)]
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -493,6 +493,7 @@
             workspace=call.workspace,
             rank=call.rank,
             configuration=call.configuration,
+            spent_s=round(call.spent_s, 3),
             held_s=round(call.held_s, 3),
             first_s=round(call.first_s, 3),
             placed=call.placed,
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -22,7 +22,8 @@
 class Call:
     """One call; times are of the event loop's clock, in seconds.
 
-    `final_at` is when the caller gets its final answer at the latest.
+    `final_at` is when the caller gets its final answer at the latest; `spent_s` is
+    what the caller had spent on earlier attempts.
     """
 
     call_id: str
@@ -39,6 +40,7 @@
     model: str = ''
     cost: Cost = Cost()
     resume_from: int = 0
+    spent_s: float = 0.0
     tried: list[str] = dataclasses.field(default_factory=list)
     refused_by: list[str] = dataclasses.field(default_factory=list)
     worst: verdict.Verdict = verdict.Verdict.NOT_RUN
@@ -50,7 +52,12 @@
     @property
     def on_time_until(self) -> float:
         """Return when the objective for the first byte runs out."""
-        return self.arrived + self.route.objective_s
+        return self.arrived - self.spent_s + self.route.objective_s
+
+    @property
+    def is_late(self) -> bool:
+        """Tell whether the caller came back when it could be no more on time."""
+        return self.spent_s > self.route.objective_s and not self.answering
 
     def note(self, found: verdict.Verdict) -> None:
         """Keep the worst verdict of all attempts."""
--- a/src/primrosesaddle/dialler.py
+++ b/src/primrosesaddle/dialler.py
@@ -9,8 +9,8 @@
 
 __all__ = ('Dialler',)
 
-DIAL_FIRST_S = 0.2
-DIAL_CEILING_S = 4.0
+DIAL_FIRST_S = 0.1
+DIAL_CEILING_S = 1.0
 CONCURRENT_DIALS = 8
 
 
--- a/src/primrosesaddle/members.py
+++ b/src/primrosesaddle/members.py
@@ -10,7 +10,7 @@
 
 __all__ = ('Members',)
 
-SCAN_S = 0.2
+SCAN_S = 0.1
 REACH_S = 30.0
 DEPARTED_TOLD = 64
 DEPARTED_S = 900.0
--- a/src/primrosesaddle/net/call.py
+++ b/src/primrosesaddle/net/call.py
@@ -9,6 +9,10 @@
 
 __all__ = ('Answer', 'CallFailed', 'Client')
 
+# Idle connections are closed soon: a server that bounds them counts those of a
+# machine that lost power as well.
+IDLE_S = 1.0
+
 
 class CallFailed(Exception):
     """A call that has no whole answer."""
@@ -74,11 +78,23 @@
         if ending is upstream.Ending.BROKEN:
             raise CallFailed(f'{method} {self.address}: the answer broke off')
         if conn.usable:
-            self._idle.append(conn)
+            self._keep(conn)
         else:
             conn.close()
         return Answer(heads[-1].status, heads[-1].headers, b''.join(parts))
 
+    def _keep(self, conn: upstream.Connection) -> None:
+        loop = asyncio.get_running_loop()
+        conn.idle_since = loop.time()
+        self._idle.append(conn)
+        loop.call_later(IDLE_S, self._expire)
+
+    def _expire(self) -> None:
+        """Close the connections that have been idle for long."""
+        until = asyncio.get_running_loop().time() - IDLE_S
+        while self._idle and self._idle[0].idle_since <= until:
+            self._idle.pop(0).close()
+
     async def _connection(self, *, kept: bool) -> upstream.Connection:
         while kept and self._idle:
             conn = self._idle.pop()
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -10,6 +10,9 @@
 
 __all__ = ('Agent', 'make_agent')
 
+# Without an entry for this long, an agent reads from the origin itself. All agents
+# at once would take up its connections, so they give restarted entries time.
+LONELY_S = 5.0
 STOP_S = 0.2  # for peers to hear that this agent leaves
 
 
@@ -27,10 +30,11 @@
         self._mesh = mesh.make_mesh(cfg, None, rand)
         self._mesh.mates.joined.append(self._joined)
         self._goal: wire.Goal | None = None
+        self._last_entry = self._clock()
         self._origin: depot.Origin | None = None
         self._origin_address = ''
         sources = depot.Sources(
-            self._homes, lambda: self._origin, lambda: self._origin_region
+            self._homes, self._lonely_origin, lambda: self._origin_region
         )
         store = depot.Depot(cfg.name, cfg.region, sources, rand)
         self._keeper: keeper.Keeper | None = None
@@ -64,11 +68,19 @@
     def _origin_region(self) -> str:
         return self._goal.origin_region if self._goal is not None else ''
 
+    def _lonely_origin(self) -> depot.Origin | None:
+        """Return the origin once no entry has been there for long."""
+        lonely_s = self._clock() - self._last_entry
+        return self._origin if lonely_s > LONELY_S else None
+
     def _homes(self) -> list[depot.Peer]:
-        return [
+        found = [
             depot.Peer(peer.card.name, peer.card.region, peer.channel)
             for peer in self._mesh.entries()
         ]
+        if found:
+            self._last_entry = self._clock()
+        return found
 
     def _tell(self, state: wire.ServerState) -> None:
         for peer in self._mesh.mates.alive('entry'):
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -10,9 +10,9 @@
 import collections
 import random
 import typing
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
-from primrosesaddle import journal, link, rendezvous, wire
+from primrosesaddle import backoff, journal, link, rendezvous, wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import pieces
 
@@ -21,8 +21,13 @@
 KEPT_VERSIONS = 3  # the newest, the one before, and one that is being superseded
 PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
 RETRY_S = 0.1
-PREFETCH_PARALLEL = 6  # fills the origin's link without holding many connections
+RETRY_CEILING_S = 0.6
+AHEAD = 3  # reads at once of each entry, enough to fill the origin's link
+SETTLE_S = 0.25  # after a start, until the other entries are known
+SERVE_WAIT_S = 0.15  # a piece that is not there by then is asked for again later
+PASSED_OVER = 16  # times that a home lacks a piece until another source is asked
 BAD_PIECES = 4  # of one version, before its digests are read again
+LOGGED_FAILURES = 20  # of reads, of which one is logged
 MANIFEST = -1
 # Blocks on their way delay calls on the same link: two of these take 26 ms at the
 # 3.8 Mbit/s of an agent's machine, and two are enough to keep the link busy.
@@ -71,6 +76,9 @@
         self._held: dict[pieces.Version, dict[int, bytes]] = {}
         self._reading: dict[tuple[pieces.Version, int], asyncio.Task[None]] = {}
         self._bad: collections.Counter[pieces.Version] = collections.Counter()
+        self._lacking: collections.Counter[tuple[pieces.Version, int]]
+        self._lacking = collections.Counter()
+        self._failures = 0
         self._serving: set[asyncio.Task[None]] = set()
         self.origin_bytes = 0
         self.peer_bytes = 0
@@ -85,29 +93,41 @@
 
     async def piece(self, version: pieces.Version, index: int) -> bytes:
         """Return a checked piece, read as often as it takes."""
+        attempts = 0
         while True:
-            body = self._held.get(version, {}).get(index)
+            body = await self.try_piece(version, index)
             if body is not None:
                 return body
+            await asyncio.sleep(
+                backoff.delay_s(attempts, RETRY_S, RETRY_CEILING_S, self._rand)
+            )
+            attempts += 1
+
+    async def try_piece(self, version: pieces.Version, index: int) -> bytes | None:
+        """Return a checked piece, or None when one attempt brought none."""
+        body = self._held.get(version, {}).get(index)
+        if body is None:
             await self._read_once(version, index)
+            body = self._held.get(version, {}).get(index)
+        return body
 
     async def prefetch(self, version: pieces.Version) -> None:
         """Read the pieces of which this process is the home, a few at once."""
+        await asyncio.sleep(SETTLE_S)
         digests = await self.digests(version)
-        mine = [
-            index
-            for index in range(len(digests.pieces))
-            if self._home(version, index, self._region) == self._name
-        ]
-        gate = asyncio.Semaphore(PREFETCH_PARALLEL)
-
-        async def read(index: int) -> None:
-            async with gate:
+        indexes = iter(range(len(digests.pieces)))
+        workers = [self._prefetch_some(version, indexes) for _ in range(AHEAD)]
+        await asyncio.gather(*workers)
+        held = len(self._held.get(version, {}))
+        journal.info('depot.filled', version=version.mark, pieces=held)
+
+    async def _prefetch_some(
+        self, version: pieces.Version, indexes: Iterator[int]
+    ) -> None:
+        for index in indexes:
+            if self._home(version, index, self._region) == self._name:
                 await self.piece(version, index)
 
-        await asyncio.gather(*(read(index) for index in mine))
-        journal.info('depot.filled', version=version.mark, pieces=len(mine))
-
     def forget(self, version: pieces.Version) -> None:
         """Drop all that is held of a version."""
         self._held.pop(version, None)
@@ -126,7 +146,7 @@
             return
         try:
             found = await asyncio.wait_for(
-                self._wanted(version, body.index), PEER_TIMEOUT_S
+                self._wanted(version, body.index), SERVE_WAIT_S
             )
         except TimeoutError:
             found = b''
@@ -155,9 +175,7 @@
         try:
             body = await self._read_from(version, index)
         except (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError) as exc:
-            journal.info(
-                'piece.unread', version=version.mark, index=index, error=repr(exc)
-            )
+            self._note_failure(version, index, exc)
             body = b''
         if index == MANIFEST:
             if not body:
@@ -165,7 +183,6 @@
             return
         digests = self._digests.get(version)
         if digests is None or not body:
-            await asyncio.sleep(RETRY_S)
             return
         if pieces.is_piece(digests, index, body):
             self._held.setdefault(version, {})[index] = body
@@ -177,6 +194,20 @@
             self._digests.pop(version, None)
             await self._read_once(version, MANIFEST)
 
+    def _note_failure(
+        self, version: pieces.Version, index: int, exc: Exception
+    ) -> None:
+        """Log the first failure in a row, and then one in many."""
+        self._failures += 1
+        if self._failures % LOGGED_FAILURES == 1:
+            journal.info(
+                'piece.unread',
+                version=version.mark,
+                index=index,
+                failures=self._failures,
+                error=repr(exc),
+            )
+
     async def _read_from(self, version: pieces.Version, index: int) -> bytes:
         for peer in self._upstreams(version, index):
             if peer.channel is None:
@@ -186,6 +217,8 @@
             except (TimeoutError, link.ChannelClosed) as exc:
                 journal.info('piece.no_answer', peer=peer.name, error=repr(exc))
                 continue
+            if not body and self._waits_for(version, index):
+                return b''
             if body:
                 self.peer_bytes += len(body)
                 if index == MANIFEST:
@@ -193,6 +226,12 @@
                 return body
         return b''
 
+    def _waits_for(self, version: pieces.Version, index: int) -> bool:
+        """Tell whether a home that lacks a piece is asked again, not passed over."""
+        key = (version, index)
+        self._lacking[key] += 1
+        return self._lacking[key] % PASSED_OVER != 0
+
     async def _read_peer(
         self, channel: link.Channel, version: pieces.Version, index: int
     ) -> bytes:
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -1,6 +1,7 @@
 """Fetches of whole versions into an agent's memory, the newest first."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 from primrosesaddle import journal
@@ -14,6 +15,7 @@
 # newer one is held up, and delays it by no more than the newer has until its bound.
 FINISH_SHARE = 0.3
 POLL_S = 0.05
+PASS_S = 0.01  # before another piece is tried in place of one that is not there
 
 
 class _Fetch:
@@ -70,10 +72,16 @@
         began = self._clock()
         digests = await self._source.digests(version)
         begun.total = len(digests.pieces)
-        for index in range(begun.total):
+        missing = collections.deque(range(begun.total))
+        while missing:
             while self._newer_moves(version) or self._older_ends(version):
                 await asyncio.sleep(POLL_S)
-            await self._source.piece(version, index)
+            index = missing.popleft()
+            if await self._source.try_piece(version, index) is None:
+                # The entries do not hold it yet; another one may be there.
+                missing.append(index)
+                await asyncio.sleep(PASS_S)
+                continue
             begun.done += 1
             begun.moved_at = self._clock()
         took_s = round(self._clock() - began, 3)
