--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -165,12 +165,19 @@
         """Read digests or a piece, or wait for the read that is under way."""
         key = (version, index)
         task = self._reading.get(key)
-        if task is None:
+        # The callback that drops a task that is done may not have run yet.
+        if task is None or task.done():
             task = asyncio.create_task(self._read(version, index))
             self._reading[key] = task
-            task.add_done_callback(lambda _: self._reading.pop(key, None))
+            task.add_done_callback(lambda done: self._forget_read(key, done))
         await asyncio.shield(task)
 
+    def _forget_read(
+        self, key: tuple[pieces.Version, int], done: 'asyncio.Task[None]'
+    ) -> None:
+        if self._reading.get(key) is done:
+            self._reading.pop(key)
+
     async def _read(self, version: pieces.Version, index: int) -> None:
         try:
             body = await self._read_from(version, index)
