Test calls, staging and the view on the platform against stand-ins

57 cases: servers that close, refuse, answer late, twice, short or unsigned; streams that break, fall silent or whose caller leaves; conflicting framing, time limits, keys, routes, configurations, unreadable records, replaced servers, an outage of the store, rotten and spoilt pieces, versions named in succession.

--- a/src/primrosesaddle/platform/__main__.py
+++ b/src/primrosesaddle/platform/__main__.py
@@ -7,6 +7,7 @@
 
 from primrosesaddle import errors, journal
 from primrosesaddle.calls import doorway
+from primrosesaddle.fleet import node
 from primrosesaddle.platform import (
     engine,
     front,
@@ -18,9 +19,10 @@
 )
 from primrosesaddle.process import adapter, agent, entry, run
 
-__all__ = ('main',)
+__all__ = ('main', 'make_adapter')
 
 SETTINGS_VARIABLE = 'PRIMROSESADDLE_NODE_FILE'
+EXIT_USAGE = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,15 +42,9 @@
         return front.Small(front.directory_handler(addresses, ttl_s))
 
 
-def main() -> None:
-    """Run the process that the settings file describes."""
-    journal.configure('INFO', sys.stdout)
-    try:
-        cfg = settings.read(os.environ[SETTINGS_VARIABLE])
-    except errors.FaultGroup as exc:
-        journal.error('settings.refused', faults=errors.describe(exc))
-        sys.exit(2)
-    made = adapter.Adapter(
+def make_adapter(cfg: node.Node) -> adapter.Adapter:
+    """Return what the platform offers to a process."""
+    return adapter.Adapter(
         records.decode,
         store.Store(cfg.store),
         _Fronts(),
@@ -57,6 +53,18 @@
         origin.Origin,
     )
 
+
+def main() -> None:
+    """Run the process that the settings file describes."""
+    journal.configure('INFO', sys.stdout)
+    path = os.environ[SETTINGS_VARIABLE]
+    try:
+        cfg = settings.read(path)
+    except errors.FaultGroup as exc:
+        journal.error('settings.refused', faults=errors.describe(exc))
+        sys.exit(EXIT_USAGE)
+    made = make_adapter(cfg)
+
     def make() -> run.Process:
         if cfg.role == 'agent':
             return agent.make_agent(cfg, made)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -46,10 +46,10 @@
         self._metrics = metrics.make_metrics()
         self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self._mesh.ready = lambda: self.ready
-        self._table = backends.Backends(self._clock)
+        self.table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
-        self._table.dropped.append(
+        self.table.dropped.append(
             lambda backend: self._kept.forget(backend.server_id)
         )
         self._queue = self._make_queue()
@@ -81,6 +81,12 @@
         """Tell whether callers should come here."""
         return self._view.configuration is not None and not self._door.leaving
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        conf = self._view.configuration
+        return conf.version if conf is not None else 0
+
     async def start(self) -> None:
         """Start every service."""
         spawn = self.kernel.spawn
@@ -95,7 +101,7 @@
         self._listen(front.calls(self._door), self.cfg.listen.callers)
         self._listen(front.ready(lambda: self.ready), self.cfg.listen.ready)
         self._listen(
-            front.directory(self._addresses, DIRECTORY_TTL_S),
+            front.directory(lambda region, data_centre: self.addresses(), DIRECTORY_TTL_S),
             self.cfg.listen.directory,
         )
         self._servers.append(listen.serve_metrics(self._metrics, self.cfg))
@@ -128,7 +134,8 @@
         if address is not None:
             self._servers.append(listen.serve(app, address))
 
-    def _addresses(self, region: str, data_centre: str) -> list[str]:
+    def addresses(self) -> list[str]:
+        """Return where callers may connect, in random order."""
         found = [peer.card.callers for peer in self._mesh.entries()]
         if self.ready and self.cfg.listen.callers is not None:
             found.append(self.cfg.listen.callers)
@@ -142,7 +149,7 @@
 
     def _make_queue(self) -> admission.Admission:
         placer = placement.Placer(
-            self._table,
+            self.table,
             self.cfg.data_centre,
             self.cfg.regions,
             self._rand,
@@ -162,7 +169,7 @@
         return relay.Relay(
             relay.Parts(
                 self._view,
-                self._table,
+                self.table,
                 self._queue,
                 self._kept,
                 repeats,
@@ -193,7 +200,7 @@
             body.reachable,
             body.born_ms,
         )
-        self._table.hear(body.address, report)
+        self.table.hear(body.address, report)
 
     def _update(self) -> None:
         conf = self._view.configuration
@@ -202,7 +209,7 @@
             self._origin_address = origin.address
             self._origin = self._adapter.origin(origin.address)
         self._goals.update()
-        self._table.update(self._view.servers.values())
+        self.table.update(self._view.servers.values())
         for service in conf.services if conf is not None else ():
             self._queue.pump(service)
 
--- /dev/null
+++ b/tests/platformstand.py
@@ -0,0 +1,514 @@
+"""Stand-ins of the users' platform: a store, scripted servers, callers, an entry."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import socket
+import typing
+from collections.abc import Awaitable, Callable
+
+from tornado import httpserver, web
+
+from primrosesaddle.fleet import node
+from primrosesaddle.platform import __main__ as platform_main
+from primrosesaddle.process import entry
+
+SEAL = 'X-Response-Seal'
+MODEL = 'm1'
+KEY = 'key-of-w1'
+
+
+def free_address() -> str:
+    """Return an address on loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+class Store:
+    """The store: items with revisions, ranges and waiting watches."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, typing.Any]] = {}
+        self.events: list[dict[str, typing.Any]] = []
+        self.revision = 1
+        self.down = False
+        self.address = free_address()
+        self._changed = asyncio.Event()
+        self._server: httpserver.HTTPServer | None = None
+
+    def start(self) -> None:
+        app = web.Application(
+            [
+                ('/primrosesaddle/kv-range', _Range, {'store': self}),
+                ('/primrosesaddle/kv-watch', _Watch, {'store': self}),
+            ]
+        )
+        self._server = httpserver.HTTPServer(app)
+        host, _, port = self.address.rpartition(':')
+        self._server.listen(int(port), host)
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def put(self, key: str, value: object) -> None:
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            'key': key,
+            'value': base64.b64encode(body).decode(),
+            'revision': self.revision,
+            'created': self.revision,
+            'lease': 0,
+        }
+        self.items[key] = item
+        self._add(item)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key)
+        self._add({'key': key, 'revision': self.revision, 'tombstone': True})
+
+    def after(self, revision: int) -> list[dict[str, typing.Any]]:
+        return [event for event in self.events if event['revision'] > revision]
+
+    async def wait(self, wait_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._changed.wait(), wait_s)
+
+    def _add(self, event: dict[str, typing.Any]) -> None:
+        self.events.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, store: Store) -> None:
+        self.store = store
+
+    def prepare(self) -> None:
+        if self.store.down:
+            self.send_error(503)
+
+
+class _Range(_Handler):
+    def get(self) -> None:
+        self.write(
+            {
+                'items': list(self.store.items.values()),
+                'truncated': False,
+                'storeRevision': self.store.revision,
+            }
+        )
+
+
+class _Watch(_Handler):
+    async def get(self) -> None:
+        after = int(self.get_query_argument('after'))
+        wait_s = int(self.get_query_argument('waitMs')) / 1000
+        if not self.store.after(after):
+            await self.store.wait(wait_s)
+        if self.store.down:
+            self.send_error(503)
+            return
+        events = self.store.after(after)
+        self.write({'events': events, 'storeRevision': self.store.revision})
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as a server read it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get('x-attempt-id', '')
+
+
+Script = Callable[[Seen], Awaitable[None]]
+
+
+class Server:
+    """A backend server that answers by a script and keeps what it read."""
+
+    def __init__(self, name: str, script: Script | None = None) -> None:
+        self.name = name
+        self.script = script or answer()
+        self.seen: list[Seen] = []
+        self.closed = 0
+        self.connections = 0
+        self.address = free_address()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        host, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    def record(self, **fields: object) -> dict[str, object]:
+        """Return the record that the server would publish."""
+        return {
+            'service': 'engines',
+            'address': self.address,
+            'zone': 'dc-1',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'coldRemainingMs': 0,
+            'sequence': 1,
+            'models': [{'name': MODEL, 'version': 1, 'adapters': []}],
+            **fields,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while True:
+                seen = await read_request(reader, writer)
+                self.seen.append(seen)
+                await self.script(seen)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            writer.close()
+
+
+async def read_request(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> Seen:
+    """Read one request."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+    headers = {}
+    for line in head[1:]:
+        name, _, text = line.partition(':')
+        if name:
+            headers[name.lower()] = text.strip()
+    body = await reader.readexactly(int(headers.get('content-length', '0')))
+    return Seen(head[0], headers, body, writer)
+
+
+def answer(
+    status: int = 200,
+    body: bytes = b'done',
+    *,
+    sealed: bool = True,
+    not_run: bool = False,
+    request_id: str | None = None,
+    claimed: int | None = None,
+) -> Script:
+    """Return a script that answers whole, or short of the length it claims."""
+
+    async def run(seen: Seen) -> None:
+        await send(
+            seen,
+            status,
+            body,
+            sealed=sealed,
+            not_run=not_run,
+            request_id=request_id,
+            claimed=claimed,
+        )
+        if claimed is not None:
+            raise ConnectionError
+
+    return run
+
+
+async def send(
+    seen: Seen,
+    status: int,
+    body: bytes,
+    *,
+    sealed: bool = True,
+    not_run: bool = False,
+    request_id: str | None = None,
+    claimed: int | None = None,
+) -> None:
+    """Send one answer."""
+    lines = [
+        f'HTTP/1.1 {status} Status',
+        f'Content-Length: {len(body) if claimed is None else claimed}',
+        f'X-Attempt-Id: {request_id or seen.request_id}',
+    ]
+    if sealed:
+        lines.append(f'{SEAL}: seal-1')
+    if not_run:
+        lines.append('X-Not-Executed: 1')
+    seen.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+    await seen.writer.drain()
+
+
+async def close(seen: Seen) -> None:
+    """Close without an answer."""
+    raise ConnectionError
+
+
+async def hang(seen: Seen) -> None:
+    """Never answer."""
+    await asyncio.sleep(3600)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: word-{number}\n\n'.encode()
+
+
+def stream(
+    last: int,
+    *,
+    breaks_after: int | None = None,
+    torn: bytes = b'',
+    pause_s: float = 0.0,
+) -> Script:
+    """Return a script that streams from where it is asked to, and may break off."""
+
+    async def run(seen: Seen) -> None:
+        head = (
+            'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+            f'X-Attempt-Id: {seen.request_id}\r\n{SEAL}: seal-{id(run)}\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'
+        )
+        seen.writer.write(head.encode())
+        begin = int(seen.headers.get('last-event-id', '0'))
+        for number in range(begin + 1, last + 1):
+            _chunk(seen.writer, event(number))
+            await seen.writer.drain()
+            await asyncio.sleep(pause_s)
+            if number == breaks_after:
+                if torn:
+                    _chunk(seen.writer, torn)
+                    await seen.writer.drain()
+                raise ConnectionError
+        seen.writer.write(b'0\r\n\r\n')
+        await seen.writer.drain()
+
+    return run
+
+
+def _chunk(writer: asyncio.StreamWriter, part: bytes) -> None:
+    writer.write(f'{len(part):x}\r\n'.encode() + part + b'\r\n')
+
+
+def configuration(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return a configuration with a route of each kind."""
+    found: dict[str, object] = {
+        'version': version,
+        'routes': [
+            _route('/chat/', 'streaming', streamResume=True, gapTargetMs=300),
+            _route('/read/', 'idempotent'),
+            _route('/book/', 'non_idempotent'),
+            _route('/brief/', 'non_idempotent', timeoutMs=300),
+        ],
+        'services': [
+            {
+                'name': 'engines',
+                'healthPath': '/healthz',
+                'maxConnections': 64,
+                'protocol': 'h1',
+                'tls': False,
+            }
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 4194304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [{'name': 'w1', 'apiKeys': [KEY], 'priority': 1}],
+    }
+    found.update(changes)
+    return found
+
+
+def _route(prefix: str, kind: str, **changes: object) -> dict[str, object]:
+    return {
+        'name': f'r{prefix}',
+        'host': 'shop.example',
+        'prefix': prefix,
+        'routeType': kind,
+        'timeoutMs': 5000,
+        'targetLatencyMs': 800,
+        'priority': 1,
+        'service': 'engines',
+        'maxAttempts': 2,
+        'public': False,
+        **changes,
+    }
+
+
+@dataclasses.dataclass
+class Got:
+    """An answer as a caller read it; `whole` tells whether its framing ended."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Fleet:
+    """One entry before scripted servers and a store."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.servers: list[Server] = []
+        self.cfg = _node(self.store.address)
+        self.entry: entry.Entry | None = None
+        self._calls = 0
+
+    async def start(self, *servers: Server, version: int = 1) -> None:
+        """Start the store, the servers and an entry that knows them."""
+        self.store.start()
+        self.store.put('op/config', configuration(version))
+        for server in servers:
+            await server.start()
+            self.servers.append(server)
+            self.store.put(f'servers/i-{server.name}', server.record())
+        await self.restart()
+        await self.until(lambda: len(self.known_servers()) == len(servers))
+
+    async def restart(self) -> None:
+        """Start the entry."""
+        made = platform_main.make_adapter(self.cfg)
+        self.entry = entry.make_entry(self.cfg, made)
+        await self.entry.start()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self.entry is not None:
+            await self.entry.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+    def known_servers(self) -> set[str]:
+        """Return the ids of the servers that may get calls."""
+        table = typing.cast(entry.Entry, self.entry).table
+        return {backend.server_id for backend in table.of('engines')}
+
+    async def until(self, check: Callable[[], object]) -> None:
+        """Wait until a check holds."""
+        for _ in range(1000):
+            if check():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError('the state was not reached')
+
+    async def call(
+        self,
+        path: str,
+        *,
+        body: bytes = b'{}',
+        deadline_ms: int = 4000,
+        key: str = KEY,
+        headers: dict[str, str] | None = None,
+    ) -> Got:
+        """Make a call on a new connection, and return its answer."""
+        reader, writer = await self.open(path, body, deadline_ms, key, headers)
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    async def open(
+        self,
+        path: str,
+        body: bytes = b'{}',
+        deadline_ms: int = 4000,
+        key: str = KEY,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a call on a new connection, and return the connection."""
+        self._calls += 1
+        lines = [
+            f'POST {path} HTTP/1.1',
+            'Host: shop.example',
+            f'X-Attempt-Id: {self._calls:016x}',
+            f'X-Deadline-Ms: {deadline_ms}',
+            f'Authorization: Bearer {key}',
+            f'Content-Length: {len(body)}',
+        ]
+        lines.extend(f'{name}: {text}' for name, text in (headers or {}).items())
+        return await self.send('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
+
+    async def send(
+        self, sent: bytes
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send bytes on a new connection, and return the connection."""
+        host, _, port = str(self.cfg.listen.callers).rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        await writer.drain()
+        return reader, writer
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Got:
+    """Read one answer to its end, or to where it breaks off."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
+    headers = {}
+    for line in head[1:]:
+        name, _, text = line.partition(':')
+        if name:
+            headers[name.lower()] = text.strip()
+    status = int(head[0].split()[1])
+    if 'content-length' in headers:
+        body = await reader.readexactly(int(headers['content-length']))
+        return Got(status, headers, body, whole=True)
+    parts = []
+    try:
+        while True:
+            size = int((await reader.readuntil(b'\r\n')).strip(), 16)
+            part = await reader.readexactly(size + 2)
+            if not size:
+                return Got(status, headers, b''.join(parts), whole=True)
+            parts.append(part[:-2])
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Got(status, headers, b''.join(parts), whole=False)
+
+
+def _node(store: str) -> node.Node:
+    bounds = node.Bounds(
+        drain_s=2,
+        grace_s=1.5,
+        configuration_s=2,
+        retry_ratio=0.2,
+        retry_window_s=10,
+        retry_extra=100,
+        version_s=8,
+        directory_ttl_s=5,
+    )
+    listen = node.Listen(
+        callers=free_address(),
+        ready=free_address(),
+        directory=free_address(),
+        peers=free_address(),
+        metrics=free_address(),
+    )
+    return node.Node(
+        name='entry-1',
+        role='entry',
+        address='127.0.0.1',
+        data_centre='dc-1',
+        region='region-1',
+        regions={'dc-1': 'region-1'},
+        listen=listen,
+        seeds=(),
+        store=store,
+        server=None,
+        service='',
+        link_bytes_per_s=1e6,
+        bounds=bounds,
+    )
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,406 @@
+"""Calls over the users' platform: answers, failures, streams, limits, changes."""
+
+import asyncio
+
+import platformstand as stand
+import pytest
+from testtools import assertions, matchers
+
+
+@pytest.fixture
+def in_fleet():
+    """Return a function that runs a check in a fleet of scripted servers."""
+
+    def run(check, *servers, **options):
+        async def main():
+            fleet = stand.Fleet()
+            try:
+                await fleet.start(*servers, **options)
+                await check(fleet)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def _same(seen, expected):
+    assertions.assert_that(seen, matchers.Equals(expected))
+
+
+def test_answer_is_passed_on_as_it_is(in_fleet):
+    """Status, body and seal of the server reach the caller."""
+    server = stand.Server('a', stand.answer(201, b'\x00\xffbytes'))
+
+    async def check(fleet):
+        got = await fleet.call('/book/1?x=%20y', body=b'{"slot":1}')
+        _same((got.status, got.body, got.whole), (201, b'\x00\xffbytes', True))
+        _same(got.headers['x-response-seal'], 'seal-1')
+        seen = server.seen[0]
+        _same((seen.line, seen.body), ('POST /book/1?x=%20y HTTP/1.1', b'{"slot":1}'))
+        _same(seen.headers['x-tenant'], 'w1')
+        _same(seen.headers['x-expect-instance'], 'i-a')
+        assert 'authorization' not in seen.headers
+        assert 3000 < int(seen.headers['x-deadline-ms']) <= 4000
+
+    in_fleet(check, server)
+
+
+def test_idempotent_call_goes_on_after_a_close(in_fleet):
+    """A server that closes without an answer is passed over."""
+    first = stand.Server('a', stand.close)
+    second = stand.Server('b', stand.close)
+
+    async def check(fleet):
+        first.script = second.script = _close_first([first, second])
+        got = await fleet.call('/read/1')
+        _same((got.status, got.body), (200, b'done'))
+        _same(len(first.seen) + len(second.seen), 2)
+
+    in_fleet(check, first, second)
+
+
+def _close_first(servers):
+    async def run(seen):
+        if sum(len(server.seen) for server in servers) == 1:
+            raise ConnectionError
+        await stand.send(seen, 200, b'done')
+
+    return run
+
+
+def test_non_idempotent_call_is_sent_once(in_fleet):
+    """A closed connection leaves open whether it ran: 502, and no second send."""
+    servers = [stand.Server('a', stand.close), stand.Server('b', stand.close)]
+
+    async def check(fleet):
+        got = await fleet.call('/book/1')
+        _same(got.status, 502)
+        _same(sum(len(server.seen) for server in servers), 1)
+
+    in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize('path', ['/book/1', '/read/1', '/chat/1'])
+def test_refused_call_goes_to_another_server(in_fleet, path):
+    """A promise that it did not run lets any call be sent elsewhere."""
+    busy = stand.answer(503, b'', sealed=False, not_run=True)
+    servers = [stand.Server('a', busy), stand.Server('b', busy)]
+
+    async def check(fleet):
+        got = await fleet.call(path)
+        _same(got.status, 503)
+        _same([len(server.seen) for server in servers], [1, 1])
+        assert float(got.headers['retry-after']) > 0
+
+    in_fleet(check, *servers)
+
+
+def test_unsigned_success_is_no_answer(in_fleet):
+    """A success without the server's seal never reaches a caller."""
+    server = stand.Server('a', stand.answer(200, b'forged', sealed=False))
+
+    async def check(fleet):
+        got = await fleet.call('/book/1')
+        _same(got.status, 502)
+        assert b'forged' not in got.body
+
+    in_fleet(check, server)
+
+
+def test_short_answer_is_no_answer(in_fleet):
+    """An answer that is shorter than its length is not passed on."""
+    server = stand.Server('a', stand.answer(200, b'short', claimed=50))
+
+    async def check(fleet):
+        _same((await fleet.call('/book/1')).status, 502)
+
+    in_fleet(check, server)
+
+
+def test_late_answer_to_another_call_is_skipped(in_fleet):
+    """An answer with another id is dropped, and the right one is passed on."""
+    server = stand.Server('a')
+
+    async def twice(seen):
+        await stand.send(seen, 200, b'other', request_id='0000')
+        await stand.send(seen, 200, b'mine')
+
+    server.script = twice
+
+    async def check(fleet):
+        got = await fleet.call('/read/1')
+        _same((got.status, got.body), (200, b'mine'))
+
+    in_fleet(check, server)
+
+
+def test_second_answer_ends_the_connection(in_fleet):
+    """Bytes after a whole answer belong to no call."""
+    server = stand.Server('a')
+
+    async def twice(seen):
+        await stand.send(seen, 200, b'mine')
+        await stand.send(seen, 200, b'again')
+
+    server.script = twice
+
+    async def check(fleet):
+        for _ in range(3):
+            _same((await fleet.call('/read/1')).body, b'mine')
+
+    in_fleet(check, server)
+
+
+def test_route_time_limit_gives_a_final_answer(in_fleet):
+    """At the route's limit the caller gets 504, and the server's work is ended."""
+    server = stand.Server('a', stand.hang)
+
+    async def check(fleet):
+        began = asyncio.get_running_loop().time()
+        _same((await fleet.call('/brief/1')).status, 504)
+        took_s = asyncio.get_running_loop().time() - began
+        assert took_s >= 0.28
+        _same(int(server.seen[0].headers['x-deadline-ms']) <= 300, True)
+
+    in_fleet(check, server)
+
+
+def test_caller_that_leaves_ends_the_work(in_fleet):
+    """The server's connection is closed when the caller's is."""
+    server = stand.Server('a', stand.stream(1000, pause_s=0.01))
+
+    async def check(fleet):
+        reader, writer = await fleet.open('/chat/1')
+        await reader.readuntil(b'word-3')
+        writer.close()
+        await fleet.until(lambda: server.closed == 1)
+
+    in_fleet(check, server)
+
+
+def test_broken_stream_goes_on_elsewhere(in_fleet):
+    """Every event comes once, in order, though the first server broke off."""
+    torn = b'id: 4\ndata: wo'
+    first = stand.Server('a')
+    second = stand.Server('b')
+    breaks = stand.stream(6, breaks_after=3, torn=torn)
+    goes_on = stand.stream(6)
+
+    async def script(seen):
+        resumed = 'last-event-id' in seen.headers
+        await (goes_on if resumed else breaks)(seen)
+
+    first.script = second.script = script
+
+    async def check(fleet):
+        got = await fleet.call('/chat/1')
+        expected = b''.join(stand.event(number) for number in range(1, 7))
+        _same((got.body, got.whole), (expected, True))
+        seals = {seen.headers.get('last-event-id') for seen in first.seen + second.seen}
+        _same(seals, {None, '3'})
+
+    in_fleet(check, first, second)
+
+
+def test_stream_that_cannot_go_on_does_not_look_whole(in_fleet):
+    """Without another server the answer breaks off visibly, after whole events."""
+    server = stand.Server('a', stand.stream(6, breaks_after=3, torn=b'id: 4\nda'))
+
+    async def check(fleet):
+        got = await fleet.call('/chat/1')
+        expected = b''.join(stand.event(number) for number in range(1, 4))
+        _same((got.body, got.whole), (expected, False))
+
+    in_fleet(check, server)
+
+
+def test_silent_stream_goes_on_elsewhere(in_fleet):
+    """A server that falls silent midway is left for another one."""
+    servers = [stand.Server('a'), stand.Server('b')]
+
+    async def script(seen):
+        if 'last-event-id' in seen.headers:
+            await stand.stream(4)(seen)
+        else:
+            await stand.stream(4, pause_s=3600)(seen)
+
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        got = await fleet.call('/chat/1')
+        expected = b''.join(stand.event(number) for number in range(1, 5))
+        _same((got.body, got.whole), (expected, True))
+
+    in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [('/none/1', stand.KEY, 404), ('/book/1', 'other', 401), ('/book/1', '', 401)],
+)
+def test_unknown_route_and_key(in_fleet, path, key, status):
+    """What no configuration allows is refused, and reaches no server."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        _same((await fleet.call(path, key=key)).status, status)
+        _same(server.seen, [])
+
+    in_fleet(check, server)
+
+
+def test_revoked_key_on_an_open_connection(in_fleet):
+    """A key that a new version dropped is refused on a kept connection too."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        reader, writer = await fleet.open('/read/1')
+        _same((await stand.read_answer(reader)).status, 200)
+        fleet.store.put('op/config', stand.configuration(2, tenants=[]))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        writer.write(
+            b'POST /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: 99\r\n'
+            b'Authorization: Bearer key-of-w1\r\nContent-Length: 0\r\n\r\n'
+        )
+        _same((await stand.read_answer(reader)).status, 401)
+        writer.close()
+
+    in_fleet(check, server)
+
+
+def test_older_configuration_is_not_adopted(in_fleet):
+    """A version below the one in force changes nothing."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.put('op/config', stand.configuration(3, routes=[]))
+        fleet.store.put('servers/i-new', server.record(sequence=2))
+        await fleet.until(lambda: 'i-new' in fleet.known_servers())
+        _same((await fleet.call('/read/1')).status, 200)
+
+    in_fleet(check, server, version=5)
+
+
+def test_unreadable_items_name_no_server(in_fleet):
+    """Items of other writers spoil nothing."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        bad = server.record(slots='many')
+        del bad['zone']
+        fleet.store.put('servers/i-x', bad)
+        fleet.store.put('servers/i-y', b'\xff\x00')
+        fleet.store.put('servers/i-z', server.record(state='asleep'))
+        fleet.store.put('op/config', b'not json')
+        fleet.store.put('servers/i-last', server.record(sequence=9))
+        await fleet.until(lambda: 'i-last' in fleet.known_servers())
+        _same(fleet.known_servers(), {'i-a', 'i-last'})
+        _same((await fleet.call('/read/1')).status, 200)
+
+    in_fleet(check, server)
+
+
+def test_draining_server_gets_no_more_calls(in_fleet):
+    """A record that says draining, or is removed, ends new work there."""
+    servers = [stand.Server('a'), stand.Server('b'), stand.Server('c')]
+
+    async def check(fleet):
+        fleet.store.put('servers/i-a', servers[0].record(state='draining'))
+        fleet.store.remove('servers/i-b')
+        await fleet.until(lambda: fleet.known_servers() == {'i-c'})
+        for _ in range(6):
+            _same((await fleet.call('/read/1')).status, 200)
+        _same([len(server.seen) for server in servers], [0, 0, 6])
+
+    in_fleet(check, *servers)
+
+
+def test_replaced_server_at_the_same_address(in_fleet):
+    """Calls name the server that they are for, also after it was replaced."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.remove('servers/i-a')
+        fleet.store.put('servers/i-b', server.record(sequence=1))
+        await fleet.until(lambda: fleet.known_servers() == {'i-b'})
+        _same((await fleet.call('/read/1')).status, 200)
+        _same(server.seen[-1].headers['x-expect-instance'], 'i-b')
+
+    in_fleet(check, server)
+
+
+def test_last_view_stays_through_an_outage(in_fleet):
+    """Calls are served while the store is away."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.down = True
+        fleet.store.put('servers/i-b', server.record(sequence=1))
+        for _ in range(3):
+            _same((await fleet.call('/read/1')).status, 200)
+        fleet.store.down = False
+        await fleet.until(lambda: 'i-b' in fleet.known_servers())
+
+    in_fleet(check, server)
+
+
+def test_entry_without_a_configuration(in_fleet):
+    """A process that knows no configuration says so, and is not ready."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        await fleet.entry.stop()
+        fleet.store.down = True
+        await fleet.restart()
+        got = await fleet.call('/read/1')
+        _same(got.status, 503)
+        _same(fleet.entry.ready, False)
+
+    in_fleet(check, server)
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n',
+        b'Content-Length: 4\r\nContent-Length: 5\r\n',
+        b'Content-Length: +4\r\n',
+        b'Transfer-Encoding: chunked, gzip\r\n',
+    ],
+)
+def test_conflicting_framing_reaches_no_server(in_fleet, framing):
+    """A request whose length can be read in two ways is refused whole."""
+    server = stand.Server('a')
+    head = (
+        b'POST /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: 7\r\n'
+        b'Authorization: Bearer key-of-w1\r\n'
+    )
+    smuggled = b'0\r\n\r\nPOST /read/2 HTTP/1.1\r\nX-Attempt-Id: 8\r\n\r\n'
+
+    async def check(fleet):
+        reader, writer = await fleet.send(head + framing + b'\r\n' + smuggled)
+        answered = await reader.read()
+        assert answered.startswith(b'HTTP/1.1 400') or not answered
+        _same(server.seen, [])
+        writer.close()
+
+    in_fleet(check, server)
+
+
+def test_directory_and_check(in_fleet):
+    """The directory names the entry while it is ready, and not while it leaves."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        _same(fleet.entry.addresses(), [fleet.cfg.listen.callers])
+        leaving = asyncio.create_task(fleet.entry.stop())
+        await fleet.until(lambda: not fleet.entry.ready)
+        _same(fleet.entry.addresses(), [])
+        got = await fleet.call('/read/1')
+        _same((got.status, got.headers['connection']), (200, 'close'))
+        await leaving
+
+    in_fleet(check, server)
--- /dev/null
+++ b/tests/test_staging.py
@@ -0,0 +1,333 @@
+"""Weights on their way: depots, fetches and keepers against small fakes."""
+
+import asyncio
+import hashlib
+import random
+
+import pytest
+from testtools import assertions, matchers
+
+from primrosesaddle import wire
+from primrosesaddle.net import call
+from primrosesaddle.staging import depot, fetches, keeper, pieces
+
+PIECES = 8
+MODEL = 'm1'
+
+
+def _body(version, index):
+    return f'{version.mark}:{index}'.encode() * 100
+
+
+def _digests(version):
+    found = [
+        hashlib.sha256(_body(version, index)).hexdigest() for index in range(PIECES)
+    ]
+    return pieces.Digests(version, tuple(found))
+
+
+class FakeOrigin:
+    """An origin that may spoil pieces, break off, or be away."""
+
+    def __init__(self):
+        self.reads = []
+        self.spoilt = set()
+        self.spoilt_digests = 0
+        self.away = False
+        self.delay_s = 0.0
+
+    async def digests(self, version):
+        self._check()
+        if self.spoilt_digests:
+            self.spoilt_digests -= 1
+            return pieces.Digests(version, ('00',) * PIECES)
+        return _digests(version)
+
+    async def piece(self, version, index):
+        await asyncio.sleep(self.delay_s)
+        self._check()
+        self.reads.append((version.number, index))
+        if (version.number, index) in self.spoilt:
+            self.spoilt.discard((version.number, index))
+            return b'spoilt'
+        return _body(version, index)
+
+    def _check(self):
+        if self.away:
+            raise call.CallFailed('away')
+
+
+class FakeEngine:
+    """An engine with a staging area that may rot."""
+
+    address = '127.0.0.1:1'
+
+    def __init__(self, loaded=0):
+        self.models = {MODEL: loaded} if loaded else {}
+        self.staged = {}
+        self.rots = set()
+        self.orders = []
+        self.born_ms = 1
+        self.away = False
+
+    async def report(self):
+        if self.away:
+            raise call.CallFailed('away')
+        return keeper.EngineState(dict(self.models), False, 0, 0, 1.0, self.born_ms)
+
+    async def read_piece(self, model, index):
+        return self.staged.get(index)
+
+    async def write_piece(self, model, index, body):
+        self.staged[index] = b'rotten' if index in self.rots else body
+        self.rots.discard(index)
+
+    async def load(self, version):
+        staged = [self.staged.get(index) for index in range(PIECES)]
+        expected = [_body(version, index) for index in range(PIECES)]
+        self.orders.append((version.number, staged == expected))
+        self.models = {MODEL: version.number}
+        return True
+
+    def restart(self):
+        self.born_ms += 1
+        self.models = {}
+        self.staged = {}
+
+
+def _depot(origin):
+    sources = depot.Sources(
+        lambda: [depot.Peer('entry-1', 'region-1', None)],
+        lambda: origin,
+        lambda: 'region-1',
+    )
+    return depot.Depot('entry-1', 'region-1', sources, random.Random(1))
+
+
+@pytest.fixture
+def in_keeper():
+    """Return a function that runs a check with a keeper beside an engine."""
+
+    def run(check, engine, origin, bound_s=1.0):
+        async def main():
+            clock = asyncio.get_running_loop().time
+            told = []
+            kept = keeper.Keeper(
+                engine, _depot(origin), bound_s, told.append, clock
+            )
+            task = asyncio.create_task(kept.run())
+            try:
+                await asyncio.wait_for(check(kept, told), 20)
+            finally:
+                task.cancel()
+
+        asyncio.run(main())
+
+    return run
+
+
+def _goal(number, age_s=0.0, place=0.0):
+    told = wire.Goal(MODEL, number, age_s, 'origin', 'region-1', place)
+    clock = asyncio.get_running_loop().time
+    return keeper.make_goal(pieces.Version(MODEL, number), told, clock)
+
+
+async def _until(check):
+    while not check():
+        await asyncio.sleep(0.01)
+
+
+def _same(seen, expected):
+    assertions.assert_that(seen, matchers.Equals(expected))
+
+
+def test_empty_engine_is_filled(in_keeper):
+    """An engine that holds nothing gets the version that is wanted."""
+    engine = FakeEngine()
+
+    async def check(kept, told):
+        kept.aim(_goal(1))
+        await _until(lambda: engine.orders)
+        _same(engine.orders, [(1, True)])
+        await _until(lambda: told and told[-1].models == {MODEL: 1})
+
+    in_keeper(check, engine, FakeOrigin())
+
+
+def test_rotten_piece_is_staged_again(in_keeper):
+    """Nothing is ordered while a staged piece differs from the published one."""
+    engine = FakeEngine()
+    engine.rots = {2, 5}
+
+    async def check(kept, told):
+        kept.aim(_goal(1))
+        await _until(lambda: engine.orders)
+        _same(engine.orders, [(1, True)])
+
+    in_keeper(check, engine, FakeOrigin())
+
+
+def test_spoilt_pieces_and_digests_are_read_again(in_keeper):
+    """What the origin sent spoilt never reaches the engine."""
+    engine = FakeEngine()
+    origin = FakeOrigin()
+    origin.spoilt = {(1, 0), (1, 3)}
+    origin.spoilt_digests = 1
+
+    async def check(kept, told):
+        kept.aim(_goal(1))
+        await _until(lambda: engine.orders)
+        _same(engine.orders, [(1, True)])
+
+    in_keeper(check, engine, origin)
+
+
+def test_restarted_engine_is_filled_from_memory(in_keeper):
+    """A restarted engine is filled though the origin is away."""
+    engine = FakeEngine()
+    origin = FakeOrigin()
+
+    async def check(kept, told):
+        kept.aim(_goal(1))
+        await _until(lambda: engine.orders)
+        await _until(lambda: told and told[-1].models == {MODEL: 1})
+        origin.away = True
+        engine.restart()
+        await _until(lambda: len(engine.orders) == 2)
+        _same(engine.orders[1], (1, True))
+
+    in_keeper(check, engine, origin)
+
+
+def test_version_named_while_the_last_is_on_its_way(in_keeper):
+    """The newest version is brought about; no order loads a mixture."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+    origin.delay_s = 0.02
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        await asyncio.sleep(0.03)
+        kept.aim(_goal(3))
+        await _until(lambda: engine.models == {MODEL: 3})
+        assert all(sound for _, sound in engine.orders)
+
+    in_keeper(check, engine, origin)
+
+
+def test_older_version_serves_while_the_newest_is_held_up(in_keeper):
+    """An origin that goes away leaves the servers on the version before."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        await _until(lambda: len(origin.reads) >= PIECES)
+        origin.away = True
+        kept.aim(_goal(3))
+        await _until(lambda: told and told[-1].models == {MODEL: 2})
+        _same(told[-1].switching, False)
+        origin.away = False
+        await _until(lambda: engine.models == {MODEL: 3})
+
+    in_keeper(check, engine, origin)
+
+
+def test_older_goal_is_ignored(in_keeper):
+    """A late message does not bring an older version back."""
+    engine = FakeEngine()
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        kept.aim(_goal(1))
+        await _until(lambda: engine.orders)
+        await asyncio.sleep(0.3)
+        _same([number for number, _ in engine.orders], [2])
+
+    in_keeper(check, engine, FakeOrigin())
+
+
+def test_servers_switch_in_turn(in_keeper):
+    """The last in the order switches late, but before the bound."""
+    engine = FakeEngine(loaded=1)
+
+    async def check(kept, told):
+        began = asyncio.get_running_loop().time()
+        kept.aim(_goal(2, place=0.9))
+        await _until(lambda: engine.orders)
+        took_s = asyncio.get_running_loop().time() - began
+        assert 0.5 < took_s < 1.7
+
+    in_keeper(check, engine, FakeOrigin(), bound_s=1.7)
+
+
+def test_unreachable_engine_is_reported(in_keeper):
+    """Entries are told that a server is away, and that it is back."""
+    engine = FakeEngine(loaded=1)
+
+    async def check(kept, told):
+        await _until(lambda: told and told[-1].reachable)
+        engine.away = True
+        await _until(lambda: not told[-1].reachable)
+        engine.away = False
+        await _until(lambda: told[-1].reachable)
+
+    in_keeper(check, engine, FakeOrigin())
+
+
+def test_digests_are_read_anew_when_a_read_has_just_ended():
+    """A caller that meets an ended read gives the loop its turn."""
+
+    async def main():
+        origin = FakeOrigin()
+        origin.away = True
+        made = _depot(origin)
+        version = pieces.Version(MODEL, 1)
+        readers = [asyncio.create_task(made.digests(version)) for _ in range(3)]
+        for _ in range(40):
+            await asyncio.sleep(0.01)
+            readers.append(asyncio.create_task(made.digests(version)))
+        origin.away = False
+        await asyncio.wait_for(asyncio.gather(*readers), 5)
+
+    asyncio.run(main())
+
+
+def test_piece_leaves_the_origin_once():
+    """Readers at the same time share one read."""
+
+    async def main():
+        origin = FakeOrigin()
+        origin.delay_s = 0.01
+        made = _depot(origin)
+        version = pieces.Version(MODEL, 1)
+        await made.digests(version)
+        await asyncio.gather(*(made.piece(version, 3) for _ in range(10)))
+        _same(origin.reads, [(1, 3)])
+
+    asyncio.run(main())
+
+
+def test_fetch_passes_over_a_piece_that_is_not_there():
+    """A piece that is missing does not hold the others up."""
+
+    async def main():
+        origin = FakeOrigin()
+        made = _depot(origin)
+        version = pieces.Version(MODEL, 1)
+        original = origin.piece
+
+        async def piece(wanted, index):
+            if index == 0 and len(origin.reads) < PIECES - 1:
+                raise call.CallFailed('not there yet')
+            return await original(wanted, index)
+
+        origin.piece = piece
+        clock = asyncio.get_running_loop().time
+        fetched = fetches.Fetches(made, clock)
+        fetched.want(version)
+        while not fetched.is_whole(version):
+            await asyncio.sleep(0.01)
+        _same(origin.reads[-1], (1, 0))
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,153 @@
+"""The view: adoption of published records, lapses, peers that catch up."""
+
+import json
+
+import pytest
+from testtools import assertions, matchers
+
+from primrosesaddle.fleet import view
+from primrosesaddle.platform import records
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    """Return a clock that stands until it is moved."""
+    return Clock()
+
+
+@pytest.fixture
+def seen(clock):
+    """Return an empty view."""
+    return view.View(records.decode, clock)
+
+
+def _server(name, revision, **changes):
+    body = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 1,
+        **changes,
+    }
+    return view.Item(f'servers/{name}', json.dumps(body).encode(), revision)
+
+
+def _version(number, revision):
+    body = json.dumps({'model': 'm', 'version': number}).encode()
+    return view.Item('op/version/m', body, revision)
+
+
+def _same(found, expected):
+    assertions.assert_that(found, matchers.Equals(expected))
+
+
+def test_older_revision_changes_nothing(seen):
+    """Changes that come late or twice are ignored."""
+    seen.apply(view.Changes([_server('a', 5, state='draining')], 5), 'store')
+    seen.apply(view.Changes([_server('a', 4)], 4), 'peer')
+    _same((seen.servers['a'].leaving, seen.revision), (True, 5))
+
+
+def test_removed_server_does_not_come_back(seen):
+    """A record from before a removal stays out."""
+    seen.apply(view.Changes([_server('a', 4)], 4), 'store')
+    seen.apply(view.Changes([view.Item('servers/a', None, 6)], 6), 'store')
+    seen.apply(view.Changes([_server('a', 5)], 6), 'peer')
+    _same(seen.servers, {})
+
+
+def test_servers_that_lapse_in_an_outage_are_kept_for_a_while(seen, clock):
+    """They stay until they would be back, and go then."""
+    seen.apply(view.Changes([_server('a', 4), _server('b', 5)], 5), 'store')
+    seen.note_store_returned()
+    gone = [view.Item('servers/a', None, 6), view.Item('servers/b', None, 7)]
+    seen.apply(view.Changes(gone, 7), 'store')
+    _same(sorted(seen.servers), ['a', 'b'])
+    seen.apply(view.Changes([_server('b', 8)], 8), 'store')
+    clock.now += view.LAPSE_GRACE_S
+    seen.sweep()
+    _same(sorted(seen.servers), ['b'])
+
+
+def test_removal_without_an_outage_is_at_once(seen):
+    """A server that is gone gets no more work."""
+    seen.apply(view.Changes([_server('a', 4)], 4), 'store')
+    seen.apply(view.Changes([view.Item('servers/a', None, 5)], 5), 'store')
+    _same(seen.servers, {})
+
+
+def test_snapshot_removes_what_it_lacks(seen):
+    """What a whole read lacks is gone, unless it is newer than the read."""
+    items = [_server('a', 4), _server('b', 5), _server('c', 9)]
+    seen.apply(view.Changes(items, 9), 'peer')
+    seen.replace(view.Snapshot([_server('a', 4)], 7), 'store')
+    _same(sorted(seen.servers), ['a', 'c'])
+
+
+def test_earlier_start_does_not_replace_a_later_one(seen):
+    """A late record of the start before is ignored."""
+    seen.apply(view.Changes([_server('a', 4, born=2000)], 4), 'store')
+    seen.apply(view.Changes([_server('a', 5, born=1000, sequence=9)], 5), 'store')
+    _same(seen.servers['a'].born_ms, 2000)
+
+
+def test_required_version_follows_the_age(seen, clock):
+    """A named version is required from the bound on, each from its own naming."""
+    seen.apply(view.Changes([_version(2, 4)], 4), 'store')
+    clock.now += 2
+    seen.apply(view.Changes([_version(3, 5)], 5), 'store')
+    _same((seen.newest('m'), seen.required('m', 8.0)), (3, 0))
+    clock.now += 6.5
+    _same(seen.required('m', 8.0), 2)
+    clock.now += 2
+    _same(seen.required('m', 8.0), 3)
+
+
+def test_peer_tells_how_old_a_version_is(seen, clock):
+    """A process that learns late takes the earlier time of its peer."""
+    seen.apply(view.Changes([_version(2, 4)], 4), 'peer')
+    seen.age({'m@2': 7.0})
+    clock.now += 1.5
+    _same(seen.required('m', 8.0), 2)
+
+
+def test_peer_that_is_behind_gets_changes_or_all(seen):
+    """Changes reach back to the first read; before that, all is told."""
+    seen.replace(view.Snapshot([_server('a', 4)], 6), 'store')
+    seen.apply(view.Changes([_server('b', 7)], 7), 'store')
+    seen.apply(view.Changes([view.Item('servers/b', None, 8)], 8), 'store')
+    told = seen.since(6)
+    _same([(item.key, item.body) for item in told.items], [('servers/b', None)])
+    _same(seen.history_from, 6)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'slots': -1},
+        {'slots': True},
+        {'address': 'host:80'},
+        {'state': 'idle'},
+        {'born': 1.5},
+        {'models': 'none'},
+    ],
+)
+def test_malformed_record_names_no_server(seen, change):
+    """A record with a field of another type is passed over, and the known one goes."""
+    seen.apply(view.Changes([_server('a', 4), _server('b', 5)], 5), 'store')
+    seen.apply(view.Changes([_server('a', 6, **change)], 6), 'store')
+    _same(sorted(seen.servers), ['b'])
