Bounded logs that never block, settings that change, waking from a pause

Settings are read again on SIGHUP and when their file changes. After a pause, idle connections are closed and the view is read again.

--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -4,7 +4,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from primrosesaddle import (
     journal,
@@ -54,6 +54,11 @@
         """Open the links."""
         self.mates.start(self._seeds)
 
+    def reseed(self, seeds: Sequence[str]) -> None:
+        """Look for peers at other addresses too."""
+        self._seeds = tuple(seeds)
+        self.mates.introduce(peers.Candidate(address) for address in seeds)
+
     async def run(self) -> None:
         """Tell a peer at random which entries there are, until cancelled."""
         while True:
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -60,6 +60,15 @@
                     )
                 )
 
+    async def refresh(self) -> None:
+        """Read everything now, as after this process stood still."""
+        try:
+            snapshot = await self._source.read_all()
+        except call.CallFailed as exc:
+            journal.info('store.not_refreshed', error=str(exc))
+            return
+        self._view.replace(snapshot, 'store')
+
     async def _step(self) -> None:
         if self._after is None:
             snapshot = await self._source.read_all()
--- a/src/primrosesaddle/platform/__main__.py
+++ b/src/primrosesaddle/platform/__main__.py
@@ -54,23 +54,23 @@
     )
 
 
+def make_process(cfg: node.Node) -> run.Process:
+    """Build the process that the settings describe, and return it."""
+    made = make_adapter(cfg)
+    if cfg.role == 'agent':
+        return agent.make_agent(cfg, made)
+    return entry.make_entry(cfg, made)
+
+
 def main() -> None:
     """Run the process that the settings file describes."""
-    journal.configure('INFO', sys.stdout)
+    journal.configure_bounded('INFO', sys.stdout.fileno())
     path = os.environ[SETTINGS_VARIABLE]
     try:
-        cfg = settings.read(path)
+        asyncio.run(run.run(make_process, path, settings.read))
     except errors.FaultGroup as exc:
         journal.error('settings.refused', faults=errors.describe(exc))
         sys.exit(EXIT_USAGE)
-    made = make_adapter(cfg)
-
-    def make() -> run.Process:
-        if cfg.role == 'agent':
-            return agent.make_agent(cfg, made)
-        return entry.make_entry(cfg, made)
-
-    asyncio.run(run.run(make, cfg.name, lambda: journal.info('process.reload')))
 
 
 if __name__ == '__main__':
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -64,6 +64,11 @@
         await self.kernel.stop()
         await self._mesh.stop()
 
+    def apply(self, cfg: node.Node) -> None:
+        """Take changed settings."""
+        self.cfg = cfg
+        self._mesh.reseed(cfg.seeds)
+
     @property
     def _origin_region(self) -> str:
         return self._goal.origin_region if self._goal is not None else ''
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+import time
 
 from tornado import httpserver, httputil
 
-from primrosesaddle import journal, kernel, link, metrics, wire
+from primrosesaddle import journal, kernel, link, metrics, pause, wire
 from primrosesaddle.calls import (
     admission,
     backends,
@@ -128,6 +129,11 @@
         await self._mesh.stop()
         self._kept.close()
 
+    def apply(self, cfg: node.Node) -> None:
+        """Take changed settings."""
+        self.cfg = cfg
+        self._mesh.reseed(cfg.seeds)
+
     def _listen(
         self, app: httputil.HTTPServerConnectionDelegate, address: str | None
     ) -> None:
@@ -214,9 +220,18 @@
             self._queue.pump(service)
 
     async def _sweep(self) -> None:
+        pauses = pause.PauseDetector(time.clock_gettime(time.CLOCK_BOOTTIME))
         while True:
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
+            if pauses.observe(time.clock_gettime(time.CLOCK_BOOTTIME)):
+                await self._wake()
+
+    async def _wake(self) -> None:
+        """Refresh what is old after this process stood still."""
+        journal.warning('process.woke', in_flight=self._door.in_flight)
+        self._kept.close()
+        await self._reader.refresh()
 
 
 def make_entry(cfg: node.Node, made: adapter.Adapter) -> Entry:
--- a/src/primrosesaddle/process/run.py
+++ b/src/primrosesaddle/process/run.py
@@ -4,8 +4,11 @@
 import logging
 import signal
 import typing
+from collections.abc import Callable
 
 from primrosesaddle import journal
+from primrosesaddle.fleet import node
+from primrosesaddle.process import reload
 
 __all__ = ('Process', 'run')
 
@@ -19,27 +22,38 @@
     async def stop(self) -> None:
         """Leave gracefully."""
 
+    def apply(self, cfg: node.Node) -> None:
+        """Take changed settings."""
+
 
 async def run(
-    make: typing.Callable[[], Process],
-    name: str,
-    reload: typing.Callable[[], None],
+    make: Callable[[node.Node], Process],
+    path: str,
+    read: Callable[[str], node.Node],
 ) -> None:
-    """Run a process until a signal ends it; a second signal ends it at once."""
+    """Run the process that a settings file describes until a signal ends it.
+
+    A second signal ends it at once. Raises `errors.FaultGroup` when the settings
+    are refused at the start.
+    """
+    cfg = read(path)
     loop = asyncio.get_running_loop()
     logging.getLogger('tornado').setLevel(logging.CRITICAL)
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _on_stop, stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    process = make()
+    process = make(cfg)
+    reloader = reload.Reloader(path, read, process.apply)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await process.start()
-    journal.info('process.started', name=name)
+    journal.info('process.started', name=cfg.name, role=cfg.role)
+    watching = asyncio.create_task(reloader.run())
     await stop.wait()
-    journal.info('process.leaving', name=name)
+    watching.cancel()
+    journal.info('process.leaving', name=cfg.name)
     await process.stop()
-    journal.info('process.stopped', name=name)
+    journal.info('process.stopped', name=cfg.name)
 
 
 def _on_stop(stop: asyncio.Event) -> None:
