Tell the story of a call from logs; resume broken streams first

primrosesaddle story ID LOGS shows a call's lines with what its process believed before them. A refusal for want of a place names what waited, the rate and how long it might have waited.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -103,7 +103,9 @@
         rate = queue.rate(now)
         expected_s = queue.ahead_of(_queue_rank(call)) / rate if rate else 0.0
         if hold_s <= 0 or expected_s > hold_s:
-            raise self._refusal(queue, call, f'no_place: expected_s={expected_s:.2f}')
+            ahead = queue.ahead_of(_queue_rank(call))
+            reason = f'no_place: ahead={ahead} rate={rate:.0f} may_hold_s={hold_s:.2f}'
+            raise self._refusal(queue, call, reason)
         return await self._wait(queue, call, service, now + hold_s)
 
     def release(self, call: request.Call, choice: placement.Choice) -> None:
@@ -217,7 +219,13 @@
 
 
 def _queue_rank(call: request.Call) -> int:
-    """Return the rank by which a call waits; one that came back waits last."""
+    """Return the rank by which a call waits.
+
+    A stream that broke off goes first, as it loses what it has; a call that came
+    back goes last.
+    """
+    if call.answering:
+        return 0
     if call.is_late:
         return routes.RANKS - 1
     return call.rank
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from primrosesaddle import journal
-from primrosesaddle.calls import request, routes
+from primrosesaddle.calls import request
 from primrosesaddle.fleet import servers
 
 __all__ = ('Backend', 'Backends', 'Report')
@@ -59,7 +59,8 @@
     def is_superseded(self) -> bool:
         """Tell whether the agent saw a later start of a server at this address."""
         report = self.report
-        return report is not None and report.born_ms > self.record.born_ms > 0
+        born_ms = self.record.born_ms
+        return report is not None and 0 < born_ms < report.born_ms
 
     def fresh_report(self, now: float) -> Report | None:
         """Return the agent's report unless it is stale."""
@@ -173,7 +174,7 @@
         """Return a server by its id, or None."""
         return self._by_id.get(server_id)
 
-    def serves(self, service: routes.Service, backend: Backend) -> bool:
+    def serves(self, backend: Backend) -> bool:
         """Tell whether a server may be chosen now: known, trusted, not ejected."""
         now = self._clock()
         if backend.dropped or now < backend.suspect_until or backend.is_superseded:
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -70,7 +70,7 @@
     @property
     def _version(self) -> int:
         conf = self._view.configuration
-        return conf.version if conf is not None else 0
+        return 0 if conf is None else conf.version
 
     def _admit(self, asked: Asked) -> request.Call:
         conf = self._view.configuration
@@ -130,7 +130,7 @@
         headers=asked.headers,
         body=asked.body,
         route=route,
-        workspace=workspace.name if workspace is not None else '',
+        workspace='' if workspace is None else workspace.name,
         rank=routes.rank_of(route, workspace),
         arrived=asked.arrived,
         final_at=asked.arrived + limit_s,
@@ -139,4 +139,3 @@
         cost=request.Cost(asked.prompt_tokens, asked.answer_tokens),
         resume_from=asked.resume_from,
     )
-
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -38,7 +38,7 @@
         """Return what decided, for the log: prediction, load and its age."""
         backend = self.backend
         report = backend.report
-        age_s = round(now - report.at, 2) if report is not None else -1
+        age_s = -1 if report is None else round(now - report.at, 2)
         running = backend.running(now)
         return f'{self.predicted_s:.3f}/{running}/{backend.pending_tokens()}/{age_s}'
 
@@ -91,33 +91,18 @@
         self, call: request.Call, service: routes.Service, required: int
     ) -> list[backends.Backend]:
         """Return the servers that could run a call, with a free place or not."""
+        least = max(1, required) if service.engine and call.model else 0
         now = self._clock()
-        found = []
-        for backend in self._table.of(service.name):
-            if not self._table.serves(service, backend):
-                continue
-            if backend.server_id in call.tried:
-                continue
-            if service.engine is not None and call.model:
-                version = backend.models(now).get(call.model, 0)
-                if version < max(1, required):
-                    continue
-            found.append(backend)
+        found = [
+            backend
+            for backend in self._table.of(service.name)
+            if self._table.serves(backend)
+            and backend.server_id not in call.tried
+            and backend.models(now).get(call.model, 0) >= least
+        ]
         sound = [backend for backend in found if not self._table.is_ejected(backend)]
         return sound or found
 
-    def places(self, service: routes.Service) -> tuple[int, int]:
-        """Return the taken and all places of a service's servers."""
-        now = self._clock()
-        taken = 0
-        total = 0
-        for backend in self._table.of(service.name):
-            if self._table.serves(service, backend):
-                slots = backend.record.slots or 1
-                total += slots
-                taken += min(slots, backend.running(now))
-        return taken, total
-
     def _has_place(
         self,
         backend: backends.Backend,
@@ -148,7 +133,7 @@
         if engine is None:
             return PLAIN_WORK_S * (1 + running / (backend.record.slots or 1))
         report = backend.fresh_report(now)
-        pace = report.pace if report is not None else 1.0
+        pace = 1.0 if report is None else report.pace
         unread = backend.pending_tokens() + call.cost.prompt
         if report is not None:
             unread += max(0, report.queued - len(backend.reading)) * engine.usual_prompt
@@ -166,6 +151,8 @@
 
 def _reserved(call: request.Call) -> int:
     """Return the places of a server that a call leaves to others."""
+    if call.answering:
+        return 0
     if call.is_late:
         return RESERVED_FROM_LATE
     return RESERVED_PLACES[call.rank % len(RESERVED_PLACES)]
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -108,6 +108,12 @@
     required: Callable[[str], int]
 
 
+_Hooks = tuple[
+    Callable[[upstream.Head], None],
+    Callable[[bytes], Awaitable[None] | None],
+]
+
+
 class _Attempt:
     """One send of a call to one server."""
 
@@ -134,14 +140,13 @@
         if self.head.load is not None:
             self.choice.backend.hear_load(self.head.load, self.moved_at)
 
-    def on_body(self, chunk: bytes) -> Awaitable[None] | None:
+    def on_body(self, chunk: bytes) -> None:
         """Keep a part of an answer that is passed on when it is whole."""
         self.moved_at = self._clock()
         self.size += len(chunk)
         if self.size > MAX_BUFFERED_BYTES:
             raise ValueError('the answer is larger than the bound')
         self.body.append(chunk)
-        return None
 
     def give_up(self, why: str) -> None:
         """Break the exchange off because the server makes no progress."""
@@ -232,20 +237,21 @@
         else:
             self._parts.repeats.first(service.name)
         call.tried.append(backend.server_id)
-        on_body = attempt.on_body
-        on_head = attempt.on_head
+        hooks: _Hooks = (attempt.on_head, attempt.on_body)
         if call.route.kind is routes.Kind.STREAM:
-            on_head, on_body = self._stream_hooks(attempt, call, sink, cutter)
+            hooks = self._stream_hooks(attempt, call, sink, cutter)
         exchange = upstream.Exchange(
             conn,
-            on_head,
-            on_body,
+            *hooks,
             lambda headers: self._parts.wire.answers(call, headers),
         )
         self._attempts.add(attempt)
         try:
             exchange.send(
-                call.method, call.target, self._headers(attempt, call, cutter), call.body
+                call.method,
+                call.target,
+                self._headers(attempt, call, cutter),
+                call.body,
             )
             ending = await exchange.read()
         except asyncio.CancelledError:
@@ -291,24 +297,15 @@
         call: request.Call,
         sink: Sink,
         cutter: events.EventCutter,
-    ) -> tuple[
-        Callable[[upstream.Head], None],
-        Callable[[bytes], Awaitable[None] | None],
-    ]:
+    ) -> _Hooks:
+        """Return hooks that pass the whole events of a stream on as they come."""
         cutter.restart()
-        passes_on = False
 
-        def on_head(raw: upstream.Head) -> None:
-            nonlocal passes_on
-            attempt.on_head(raw)
+        def on_body(chunk: bytes) -> Awaitable[None] | None:
             head = attempt.head
             if head is None or not head.signed or head.status >= 300:
-                return
-            passes_on = True
-
-        def on_body(chunk: bytes) -> Awaitable[None] | None:
-            if not passes_on:
-                return attempt.on_body(chunk)
+                attempt.on_body(chunk)
+                return None
             attempt.moved_at = self._clock()
             whole = cutter.feed(chunk)
             if not whole:
@@ -317,7 +314,7 @@
             self._start_stream(attempt, call, sink)
             return sink.write(whole)
 
-        return on_head, on_body
+        return attempt.on_head, on_body
 
     def _start_stream(self, attempt: _Attempt, call: request.Call, sink: Sink) -> None:
         if not call.answering and attempt.head is not None:
@@ -385,11 +382,13 @@
             if body:
                 sink.write(body)
         sink.finish_answer()
-        self._log(call, 'answered', head.status, server=attempt.choice.backend.server_id)
+        self._log(
+            call, 'answered', head.status, server=attempt.choice.backend.server_id
+        )
 
     def _service_of(self, call: request.Call) -> routes.Service:
         conf = self._parts.seen.configuration
-        known = conf.services if conf is not None else {}
+        known = {} if conf is None else conf.services
         targets = [
             (known[name], weight)
             for name, weight in call.route.targets
@@ -438,9 +437,7 @@
             return verdict.not_run('time_limit', STATUS_UNAVAILABLE, RETRY_AFTER_S)
         return verdict.may_have_run('time_limit', STATUS_TIMEOUT)
 
-    def _fail(
-        self, call: request.Call, sink: Sink, refusal: verdict.Refusal
-    ) -> None:
+    def _fail(self, call: request.Call, sink: Sink, refusal: verdict.Refusal) -> None:
         if call.worst is not verdict.Verdict.NOT_RUN and refusal.retryable:
             refusal = verdict.may_have_run(refusal.reason, STATUS_BAD_GATEWAY)
         if call.answering:
@@ -466,9 +463,7 @@
             return STALL_S
         return STALL_FIRST_S + attempt.choice.predicted_s
 
-    def _log_attempt(
-        self, attempt: _Attempt, call: request.Call, outcome: str
-    ) -> None:
+    def _log_attempt(self, attempt: _Attempt, call: request.Call, outcome: str) -> None:
         head = attempt.head
         journal.info(
             f'attempt.{outcome}',
--- a/src/primrosesaddle/cli.py
+++ b/src/primrosesaddle/cli.py
@@ -13,7 +13,7 @@
 
 import cappa
 
-from primrosesaddle import audit, catalogue, errors, httpio, settings
+from primrosesaddle import audit, catalogue, errors, httpio, settings, story
 
 __all__ = ('main',)
 
@@ -264,12 +264,34 @@
     what: cappa.Subcommands[AuditShow | AuditVerify]
 
 
+@cappa.command(name='story', help='Tell what became of a call, from logs.')
+@dataclasses.dataclass
+class Story:
+    """`story ID LOGS...`."""
+
+    wanted: typing.Annotated[str, cappa.Arg(help='A call id.')]
+    logs: _Logs
+    as_json: _Json = False
+
+    def __call__(self) -> int:
+        """Show the call's lines with what was believed; fail when there is none."""
+        texts = [
+            text
+            for path in self.logs
+            for text in _read_bytes(path).decode('utf-8', 'replace').splitlines()
+        ]
+        found = story.tell(story.read_lines(texts), self.wanted)
+        lines = [f'{line.process} {line.text}'.strip() for line in found]
+        _show([line.fields for line in found], lines, as_json=self.as_json)
+        return EXIT_OK if found else EXIT_FAILED
+
+
 @cappa.command(name='primrosesaddle', help='Check, watch and audit a fleet.')
 @dataclasses.dataclass
 class Tool:
     """The command-line tool."""
 
-    what: cappa.Subcommands[Check | Entries | Status | Rollout | Audit]
+    what: cappa.Subcommands[Check | Entries | Status | Rollout | Audit | Story]
 
 
 def _check(file: str, as_json: bool, read: typing.Callable[[], object]) -> int:
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -97,9 +97,7 @@
     def _greet(self, peer: peers.Peer) -> None:
         peer.channel.send(self.mates.roster())
 
-    def _take_roster(
-        self, channel: link.Channel, rid: int, body: wire.Roster
-    ) -> None:
+    def _take_roster(self, channel: link.Channel, rid: int, body: wire.Roster) -> None:
         self.mates.introduce(
             peers.Candidate(
                 known.address,
@@ -165,9 +163,7 @@
         channel.send(told, rid, reply=True)
 
 
-def make_mesh(
-    cfg: node.Node, seen: view.View | None, rand: random.Random
-) -> Mesh:
+def make_mesh(cfg: node.Node, seen: view.View | None, rand: random.Random) -> Mesh:
     """Build the links of a process, and return them."""
     return Mesh(cfg, seen, rand)
 
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -233,9 +233,9 @@
     ) -> bool:
         if record.version <= self.newest(record.model):
             return False
-        known = self.named.setdefault(record.model, [])
-        known.append(Named(record.version, self._clock()))
-        del known[:-MAX_VERSIONS]
+        known = self.named.get(record.model, [])
+        found = Named(record.version, self._clock())
+        self.named[record.model] = [*known, found][-MAX_VERSIONS:]
         journal.info(
             'version.named',
             model=record.model,
@@ -272,4 +272,3 @@
                 listener()
             except Exception as exc:
                 journal.error('listener.failed', error=repr(exc))
-
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -21,6 +21,8 @@
 MAX_STRAY_ANSWERS = 2  # late answers to earlier requests that are skipped
 _NO_BODY = frozenset((204, 304))
 
+_UNREACHABLE = (OSError, iostream.StreamClosedError, TimeoutError, ValueError)
+
 Pairs = Iterable[tuple[str, str]]
 
 
@@ -192,7 +194,7 @@
     stream = Stream(sock, max_buffer_size=MAX_BODY_BYTES, read_chunk_size=16384)
     try:
         await asyncio.wait_for(stream.connect((host, int(port))), timeout_s)
-    except (OSError, iostream.StreamClosedError, TimeoutError, ValueError) as exc:
+    except _UNREACHABLE as exc:
         stream.close()
         raise Unreachable(f'{address}: {exc!r}') from None
     except asyncio.CancelledError:
@@ -230,7 +232,7 @@
     except BlockingIOError:
         return True
     except OSError:
-        pass
+        return False
     return False
 
 
--- a/src/primrosesaddle/platform/front.py
+++ b/src/primrosesaddle/platform/front.py
@@ -47,7 +47,6 @@
         self._door = door
         self._conn = typing.cast(typing.Any, conn)
         self._body: list[bytes] = []
-        self._size = 0
         self._line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._arrived = 0.0
@@ -58,19 +57,16 @@
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> Awaitable[None] | None:
+    ) -> None:
         """Keep the head; the clock of the call starts here."""
         self._line = typing.cast(httputil.RequestStartLine, start_line)
         self._headers = headers
         self._arrived = asyncio.get_running_loop().time()
         self._conn.stream.set_nodelay(True)
-        return None
 
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+    def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body."""
         self._body.append(chunk)
-        self._size += len(chunk)
-        return None
 
     def finish(self) -> None:
         """Serve the request, now that it is read whole."""
@@ -94,11 +90,11 @@
 
     def write(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a part of the body."""
-        if self._done:
-            return None
-        fut = self._conn.write(chunk)
-        fut.add_done_callback(_retrieve)
-        return typing.cast('Awaitable[None]', fut)
+        fut = None
+        if not self._done:
+            fut = self._conn.write(chunk)
+            fut.add_done_callback(_retrieve)
+        return typing.cast('Awaitable[None] | None', fut)
 
     def finish_answer(self) -> None:
         """End a whole answer, and the connection too while leaving."""
@@ -220,9 +216,8 @@
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> Awaitable[None] | None:
+    ) -> None:
         self._path = typing.cast(httputil.RequestStartLine, start_line).path
-        return None
 
     def finish(self) -> None:
         path, _, query = self._path.partition('?')
@@ -230,7 +225,8 @@
             name: found[-1] for name, found in httputil.parse_qs_bytes(query).items()
         }
         status, body = self._handle(
-            path, {name: text.decode('utf-8', 'replace') for name, text in asked.items()}
+            path,
+            {name: text.decode('utf-8', 'replace') for name, text in asked.items()},
         )
         headers = httputil.HTTPHeaders({'Content-Type': _JSON})
         headers['Content-Length'] = str(len(body))
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -86,7 +86,9 @@
             )
         except _HistoryGone:
             return None
-        return view.Changes([_item(item) for item in found.events], found.store_revision)
+        return view.Changes(
+            [_item(item) for item in found.events], found.store_revision
+        )
 
     async def _get(
         self,
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -62,6 +62,8 @@
 def _load(text: str) -> int | None:
     """Return the running and waiting requests, or None when they are not told."""
     parts = text.split(',')
-    if len(parts) < 2 or not (parts[0].strip().isdigit() and parts[1].strip().isdigit()):
+    if len(parts) < 2 or not (
+        parts[0].strip().isdigit() and parts[1].strip().isdigit()
+    ):
         return None
     return int(parts[0]) + int(parts[1])
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -71,7 +71,7 @@
 
     @property
     def _origin_region(self) -> str:
-        return self._goal.origin_region if self._goal is not None else ''
+        return '' if self._goal is None else self._goal.origin_region
 
     def _lonely_origin(self) -> depot.Origin | None:
         """Return the origin once no entry has been there for long."""
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -50,9 +50,7 @@
         self.table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
-        self.table.dropped.append(
-            lambda backend: self._kept.forget(backend.server_id)
-        )
+        self.table.dropped.append(lambda backend: self._kept.forget(backend.server_id))
         self._queue = self._make_queue()
         self._relay = self._make_relay()
         self._door = doorway.Doorway(self._view, self._relay)
@@ -86,7 +84,7 @@
     def configuration_version(self) -> int:
         """Return the version of the configuration in force, 0 for none."""
         conf = self._view.configuration
-        return conf.version if conf is not None else 0
+        return 0 if conf is None else conf.version
 
     async def start(self) -> None:
         """Start every service."""
@@ -102,7 +100,9 @@
         self._listen(front.calls(self._door), self.cfg.listen.callers)
         self._listen(front.ready(lambda: self.ready), self.cfg.listen.ready)
         self._listen(
-            front.directory(lambda region, data_centre: self.addresses(), DIRECTORY_TTL_S),
+            front.directory(
+                lambda region, data_centre: self.addresses(), DIRECTORY_TTL_S
+            ),
             self.cfg.listen.directory,
         )
         self._servers.append(listen.serve_metrics(self._metrics, self.cfg))
@@ -149,9 +149,7 @@
         return [address for address in found if address][:MAX_ADDRESSES]
 
     def _required(self, model: str) -> int:
-        return self._view.required(
-            model, self.cfg.bounds.version_s - VERSION_MARGIN_S
-        )
+        return self._view.required(model, self.cfg.bounds.version_s - VERSION_MARGIN_S)
 
     def _make_queue(self) -> admission.Admission:
         placer = placement.Placer(
@@ -210,13 +208,13 @@
 
     def _update(self) -> None:
         conf = self._view.configuration
-        origin = conf.origin if conf is not None else None
+        origin = None if conf is None else conf.origin
         if origin is not None and origin.address != self._origin_address:
             self._origin_address = origin.address
             self._origin = self._adapter.origin(origin.address)
         self._goals.update()
         self.table.update(self._view.servers.values())
-        for service in conf.services if conf is not None else ():
+        for service in () if conf is None else conf.services:
             self._queue.pump(service)
 
     async def _sweep(self) -> None:
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -66,7 +66,7 @@
     def origin_region(self) -> str:
         """Return the region of the origin, empty when it is not known."""
         conf = self._view.configuration
-        origin = conf.origin if conf is not None else None
+        origin = None if conf is None else conf.origin
         if origin is None:
             return ''
         return self._links.region_of(origin.data_centre)
--- a/src/primrosesaddle/process/run.py
+++ b/src/primrosesaddle/process/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import sys
 import typing
 from collections.abc import Callable
 
@@ -58,5 +59,5 @@
 
 def _on_stop(stop: asyncio.Event) -> None:
     if stop.is_set():
-        raise SystemExit(1)
+        sys.exit(1)
     stop.set()
--- a/src/primrosesaddle/requests.py
+++ b/src/primrosesaddle/requests.py
@@ -71,6 +71,8 @@
     try:
         whole = msgspec.json.decode(body, type=dict[str, typing.Any])
         return msgspec.convert(whole, ChatBody), whole
+    except RecursionError:
+        raise verdict.not_run('body_refused: nested too deeply', 400) from None
     except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise verdict.not_run(f'body_refused: {exc}', 400) from None
 
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -27,6 +27,7 @@
 SERVE_WAIT_S = 0.15  # a piece that is not there by then is asked for again later
 PASSED_OVER = 16  # times that a home lacks a piece until another source is asked
 BAD_PIECES = 4  # of one version, before its digests are read again
+_UNREAD = (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError)
 LOGGED_FAILURES = 20  # of reads, of which one is logged
 MANIFEST = -1
 # Blocks on their way delay calls on the same link: two of these take 26 ms at the
@@ -181,7 +182,7 @@
     async def _read(self, version: pieces.Version, index: int) -> None:
         try:
             body = await self._read_from(version, index)
-        except (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError) as exc:
+        except _UNREAD as exc:
             self._note_failure(version, index, exc)
             body = b''
         if index == MANIFEST:
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -107,7 +107,7 @@
                 return
         journal.info('goal.set', version=goal.version.mark)
         self._goals.append(goal)
-        del self._goals[:-KEPT_GOALS]
+        self._goals = self._goals[-KEPT_GOALS:]
 
     def look_again(self) -> None:
         """Tell the entries anew, as when one has just joined."""
@@ -156,11 +156,11 @@
         for goal in self._goals:
             if goal.version.number > loaded:
                 self._fetches.want(goal.version)
-        goal = self._next_goal(loaded)
-        if state is None or goal is None or state.busy:
+        chosen = self._next_goal(loaded)
+        if state is None or chosen is None or state.busy:
             return
         try:
-            await self._bring(state, goal, loaded)
+            await self._bring(chosen, loaded)
         except call.CallFailed as exc:
             self._staged = None
             journal.warning('engine.call_failed', error=str(exc))
@@ -176,7 +176,7 @@
                 return None
         return None
 
-    async def _bring(self, state: EngineState, goal: Goal, loaded: int) -> None:
+    async def _bring(self, goal: Goal, loaded: int) -> None:
         wanted = goal.version
         if self._staged != wanted:
             await self._stage(wanted)
@@ -231,7 +231,7 @@
         Raises `call.CallFailed`.
         """
         digests = await self._source.digests(wanted)
-        for index in range(len(digests.pieces)):
+        for index, _ in enumerate(digests.pieces):
             body = await self._source.piece(wanted, index)
             await self._engine.write_piece(wanted.model, index, body)
         self._staged = wanted
@@ -244,7 +244,7 @@
         Raises `call.CallFailed`.
         """
         digests = await self._source.digests(wanted)
-        for index in range(len(digests.pieces)):
+        for index, _ in enumerate(digests.pieces):
             body = await self._engine.read_piece(wanted.model, index)
             if body is None or not pieces.is_piece(digests, index, body):
                 journal.warning('staged.spoilt', version=wanted.mark, index=index)
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -381,7 +381,8 @@
         await self.until(lambda: len(self.known_servers()) == len(servers))
 
     async def restart(self) -> None:
-        """Start the entry."""
+        """Start the entry, as a process of its own with new addresses."""
+        self.cfg = _node(self.store.address)
         made = platform_main.make_adapter(self.cfg)
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
@@ -464,8 +465,9 @@
         if name:
             headers[name.lower()] = text.strip()
     status = int(head[0].split()[1])
-    if 'content-length' in headers:
-        body = await reader.readexactly(int(headers['content-length']))
+    length = headers.get('content-length')
+    if length is not None:
+        body = await reader.readexactly(int(length))
         return Got(status, headers, body, whole=True)
     parts = []
     try:
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -112,9 +112,7 @@
         async def main():
             clock = asyncio.get_running_loop().time
             told = []
-            kept = keeper.Keeper(
-                engine, _depot(origin), bound_s, told.append, clock
-            )
+            kept = keeper.Keeper(engine, _depot(origin), bound_s, told.append, clock)
             task = asyncio.create_task(kept.run())
             try:
                 await asyncio.wait_for(check(kept, told), 20)
