--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,19 +15,12 @@
 from demo.standins import common, conf
 
 from bench import configspread, path, report
-from primrosesaddle import (
-    catalogue,
-    fairqueue,
-    journal,
-    limits,
-    link,
-    members,
-    peers,
-    rendezvous,
-    router,
-    spread,
-    wire,
-)
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import rendezvous
+from primrosesaddle.gateway import fairqueue, limits, router
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import journal
+from primrosesaddle.weights import spread
 
 __all__ = ('main',)
 
--- a/bench/configspread.py
+++ b/bench/configspread.py
@@ -9,7 +9,10 @@
 from demo.standins import common, conf
 
 from bench import report
-from primrosesaddle import config, httpio, members, peers, roles, switchboard, wire
+from primrosesaddle import roles
+from primrosesaddle.configuration import config
+from primrosesaddle.core import httpio
+from primrosesaddle.membership import members, peers, switchboard, wire
 
 __all__ = ('measure',)
 
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -9,7 +9,9 @@
 import typing
 
 from bench import limitworld, report
-from primrosesaddle import catalogue, concurrency, fairqueue, router, verdict
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import concurrency, fairqueue, router
 
 __all__ = ('measure',)
 
--- a/bench/limitworld.py
+++ b/bench/limitworld.py
@@ -2,7 +2,8 @@
 
 import random
 
-from primrosesaddle import limits, verdict
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import limits
 
 __all__ = ('RATE', 'World')
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -13,7 +13,7 @@
 from demo import fleet, layout
 
 from bench import report
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('measure',)
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -5,7 +5,8 @@
 import sys
 
 from bench import report
-from primrosesaddle import httpio, journal
+from primrosesaddle.core import httpio
+from primrosesaddle.telemetry import journal
 
 __all__ = ('main',)
 
--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -8,19 +8,11 @@
 from demo import layout
 from demo.standins import weightstore
 
-from primrosesaddle import (
-    fetch,
-    httpio,
-    link,
-    members,
-    metrics,
-    peers,
-    roles,
-    store,
-    switchboard,
-    weights,
-    wire,
-)
+from primrosesaddle import roles
+from primrosesaddle.core import httpio
+from primrosesaddle.membership import link, members, peers, switchboard, wire
+from primrosesaddle.telemetry import metrics
+from primrosesaddle.weights import fetch, store, weights
 
 __all__ = ('Links', 'Swarm', 'naive_seconds')
 
--- a/bench/swarmfleet.py
+++ b/bench/swarmfleet.py
@@ -11,7 +11,8 @@
 from demo import layout
 
 from bench import swarm
-from primrosesaddle import httpio, journal
+from primrosesaddle.core import httpio
+from primrosesaddle.telemetry import journal
 
 __all__ = ('SwarmFleet', 'main')
 
--- a/demo/client.py
+++ b/demo/client.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from demo import layout
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('Book', 'Caller')
 
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -15,7 +15,7 @@
 import zmq
 
 from demo import layout
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('Fleet', 'Running', 'main')
 
--- a/demo/show.py
+++ b/demo/show.py
@@ -6,7 +6,7 @@
 import time
 
 from demo import client, fleet, layout
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('main',)
 
--- a/demo/standins/engine.py
+++ b/demo/standins/engine.py
@@ -18,8 +18,8 @@
 from tornado import iostream, web
 
 from demo.standins import common
-from primrosesaddle import engine as protocol
-from primrosesaddle import manifest
+from primrosesaddle.weights import engine as protocol
+from primrosesaddle.weights import manifest
 
 __all__ = ('Engine', 'routes')
 
--- a/demo/standins/weightstore.py
+++ b/demo/standins/weightstore.py
@@ -8,7 +8,7 @@
 from tornado import web
 
 from demo.standins import common
-from primrosesaddle import manifest
+from primrosesaddle.weights import manifest
 
 __all__ = ('WeightStore', 'make_weights', 'routes')
 
--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -5,8 +5,8 @@
 import dataclasses
 from collections.abc import Callable
 
-from primrosesaddle import verdict
 from primrosesaddle.calls import placement, request, routes
+from primrosesaddle.core import verdict
 
 __all__ = ('Admission',)
 
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -3,9 +3,9 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from primrosesaddle import journal
 from primrosesaddle.calls import request
 from primrosesaddle.fleet import servers
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Backend', 'Backends', 'Report')
 
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from primrosesaddle import journal, verdict
 from primrosesaddle.calls import relay, request, routes
+from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Asked', 'Doorway')
 
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -6,7 +6,6 @@
 import typing
 from collections.abc import Awaitable, Callable
 
-from primrosesaddle import journal, metrics, verdict
 from primrosesaddle.calls import (
     admission,
     backends,
@@ -16,8 +15,10 @@
     request,
     routes,
 )
+from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
 from primrosesaddle.net import pool, upstream
+from primrosesaddle.telemetry import journal, metrics
 
 __all__ = ('AnswerHead', 'Relay', 'Sink', 'Wire')
 
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from primrosesaddle import verdict
 from primrosesaddle.calls import routes
+from primrosesaddle.core import verdict
 
 __all__ = ('Call', 'Cost')
 
--- a/src/primrosesaddle/cli.py
+++ b/src/primrosesaddle/cli.py
@@ -13,7 +13,10 @@
 
 import cappa
 
-from primrosesaddle import audit, catalogue, errors, httpio, settings, story
+from primrosesaddle import settings
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import errors, httpio
+from primrosesaddle.telemetry import audit, story
 
 __all__ = ('main',)
 
--- /dev/null
+++ b/src/primrosesaddle/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue, and how a revision comes into force."""
--- a/src/primrosesaddle/catalogue.py
+++ b/src/primrosesaddle/configuration/catalogue.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from primrosesaddle import border, errors
+from primrosesaddle.core import border, errors
 
 __all__ = ('Catalogue', 'Delta', 'Rank', 'apply_delta', 'make_delta', 'parse', 'schema')
 
--- a/src/primrosesaddle/config.py
+++ b/src/primrosesaddle/configuration/config.py
@@ -8,17 +8,10 @@
 import typing
 from collections.abc import Awaitable, Callable
 
-from primrosesaddle import (
-    catalogue,
-    confservice,
-    errors,
-    httpio,
-    journal,
-    link,
-    members,
-    rendezvous,
-    wire,
-)
+from primrosesaddle.configuration import catalogue, confservice
+from primrosesaddle.core import errors, httpio, rendezvous
+from primrosesaddle.membership import link, members, wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Config', 'is_reader')
 
--- a/src/primrosesaddle/confservice.py
+++ b/src/primrosesaddle/configuration/confservice.py
@@ -1,6 +1,6 @@
 """The platform's configuration service: read and watch, over HTTP."""
 
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('read', 'watch')
 
--- /dev/null
+++ b/src/primrosesaddle/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plumbing that every other package builds on."""
--- a/src/primrosesaddle/border.py
+++ b/src/primrosesaddle/core/border.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from primrosesaddle import errors
+from primrosesaddle.core import errors
 
 __all__ = ('convert',)
 
--- a/src/primrosesaddle/kernel.py
+++ b/src/primrosesaddle/core/kernel.py
@@ -5,7 +5,7 @@
 import typing
 from collections.abc import Awaitable, Callable, Coroutine
 
-from primrosesaddle import journal
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Kernel', 'Service')
 
--- a/src/primrosesaddle/daemon.py
+++ b/src/primrosesaddle/daemon.py
@@ -9,7 +9,9 @@
 
 import cappa
 
-from primrosesaddle import errors, httpio, journal, roles, settings
+from primrosesaddle import roles, settings
+from primrosesaddle.core import errors, httpio
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Daemon', 'main')
 
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -6,15 +6,9 @@
 import uuid
 from collections.abc import Callable, Sequence
 
-from primrosesaddle import (
-    journal,
-    link,
-    members,
-    peers,
-    switchboard,
-    wire,
-)
 from primrosesaddle.fleet import node, view
+from primrosesaddle.membership import link, members, peers, switchboard, wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Mesh', 'make_mesh')
 
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -5,9 +5,10 @@
 import typing
 from collections.abc import Callable
 
-from primrosesaddle import backoff, journal
+from primrosesaddle.core import backoff
 from primrosesaddle.fleet import view
 from primrosesaddle.net import call
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Reader',)
 
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from primrosesaddle import journal
 from primrosesaddle.calls import routes
 from primrosesaddle.fleet import servers
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Changes', 'Item', 'Snapshot', 'View')
 
--- /dev/null
+++ b/src/primrosesaddle/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The product's own interface: calls through entry and agent."""
--- a/src/primrosesaddle/callers.py
+++ b/src/primrosesaddle/gateway/callers.py
@@ -9,18 +9,17 @@
 import msgspec
 from tornado import httputil, iostream, web
 
-from primrosesaddle import (
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import (
     callersink,
     callerstate,
-    catalogue,
     dispatch,
     door,
     headers,
-    journal,
     requests,
-    traces,
-    verdict,
 )
+from primrosesaddle.telemetry import journal, traces
 
 __all__ = ('CallHandler', 'Handler', 'make_application')
 
--- a/src/primrosesaddle/callersink.py
+++ b/src/primrosesaddle/gateway/callersink.py
@@ -4,7 +4,10 @@
 
 from tornado import web
 
-from primrosesaddle import callerstate, requests, traces, verdict, wire
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import callerstate, requests
+from primrosesaddle.membership import wire
+from primrosesaddle.telemetry import traces
 
 __all__ = ('HttpSink',)
 
--- a/src/primrosesaddle/callerstate.py
+++ b/src/primrosesaddle/gateway/callerstate.py
@@ -11,19 +11,12 @@
 import msgspec
 from tornado import httputil
 
-from primrosesaddle import (
-    audit,
-    catalogue,
-    config,
-    dispatch,
-    limits,
-    members,
-    metrics,
-    rendezvous,
-    settings,
-    traces,
-    verdict,
-)
+from primrosesaddle import settings
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import rendezvous, verdict
+from primrosesaddle.gateway import dispatch, limits
+from primrosesaddle.membership import members
+from primrosesaddle.telemetry import audit, metrics, traces
 
 __all__ = ('FLOODED', 'Front', 'refusal_body')
 
--- a/src/primrosesaddle/chat.py
+++ b/src/primrosesaddle/gateway/chat.py
@@ -7,7 +7,10 @@
 
 import msgspec
 
-from primrosesaddle import answers, engine, gate, httpio, verdict, wire
+from primrosesaddle.core import httpio, verdict
+from primrosesaddle.gateway import answers, gate
+from primrosesaddle.membership import wire
+from primrosesaddle.weights import engine
 
 __all__ = ('ChatRunner',)
 
--- a/src/primrosesaddle/concurrency.py
+++ b/src/primrosesaddle/gateway/concurrency.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from primrosesaddle import catalogue
+from primrosesaddle.configuration import catalogue
 
 __all__ = ('AdaptiveLimit',)
 
--- a/src/primrosesaddle/dispatch.py
+++ b/src/primrosesaddle/gateway/dispatch.py
@@ -7,21 +7,11 @@
 import time
 import typing
 
-from primrosesaddle import (
-    catalogue,
-    config,
-    link,
-    members,
-    metrics,
-    once,
-    peers,
-    relay,
-    requests,
-    router,
-    traces,
-    verdict,
-    wire,
-)
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import once, relay, requests, router
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import metrics, traces
 
 __all__ = ('Dispatcher', 'Outcome', 'Sink')
 
--- a/src/primrosesaddle/fairqueue.py
+++ b/src/primrosesaddle/gateway/fairqueue.py
@@ -5,7 +5,8 @@
 import itertools
 from collections.abc import Callable, Mapping
 
-from primrosesaddle import catalogue, verdict
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import verdict
 
 __all__ = ('FairQueue', 'Item', 'QueueLimits')
 
--- a/src/primrosesaddle/gate.py
+++ b/src/primrosesaddle/gateway/gate.py
@@ -7,23 +7,11 @@
 import typing
 from collections.abc import Awaitable, Callable, Coroutine
 
-from primrosesaddle import (
-    audit,
-    catalogue,
-    concurrency,
-    config,
-    fairqueue,
-    journal,
-    link,
-    members,
-    metrics,
-    pause,
-    peers,
-    relay,
-    traces,
-    verdict,
-    wire,
-)
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import pause, verdict
+from primrosesaddle.gateway import concurrency, fairqueue, relay
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import audit, journal, metrics, traces
 
 __all__ = ('Gate', 'Parts', 'Work')
 
--- a/src/primrosesaddle/homes.py
+++ b/src/primrosesaddle/gateway/homes.py
@@ -4,19 +4,11 @@
 import hashlib
 import time
 
-from primrosesaddle import (
-    catalogue,
-    config,
-    gate,
-    journal,
-    link,
-    members,
-    once,
-    peers,
-    plain,
-    verdict,
-    wire,
-)
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import gate, once, plain
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('HomeRunner', 'homes_digest')
 
--- a/src/primrosesaddle/limits.py
+++ b/src/primrosesaddle/gateway/limits.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
-from primrosesaddle import rendezvous, verdict
+from primrosesaddle.core import rendezvous, verdict
 
 __all__ = ('Bucket', 'Limiter', 'Report')
 
--- a/src/primrosesaddle/once.py
+++ b/src/primrosesaddle/gateway/once.py
@@ -6,7 +6,7 @@
 import typing
 from collections.abc import Iterable
 
-from primrosesaddle import rendezvous, verdict
+from primrosesaddle.core import rendezvous, verdict
 
 __all__ = ('Answer', 'ForwardBook', 'Ledger', 'Ticket', 'home_of')
 
--- a/src/primrosesaddle/plain.py
+++ b/src/primrosesaddle/gateway/plain.py
@@ -1,6 +1,7 @@
 """A plain service beside an agent: one call over HTTP, with a verdict."""
 
-from primrosesaddle import headers, httpio, once, verdict
+from primrosesaddle.core import httpio, verdict
+from primrosesaddle.gateway import headers, once
 
 __all__ = ('call',)
 
--- a/src/primrosesaddle/relay.py
+++ b/src/primrosesaddle/gateway/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from primrosesaddle import link, wire
+from primrosesaddle.membership import link, wire
 
 __all__ = ('Outlet', 'WINDOW_PARTS')
 
--- a/src/primrosesaddle/requests.py
+++ b/src/primrosesaddle/gateway/requests.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-from primrosesaddle import catalogue, headers, verdict
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import headers
 
 __all__ = ('ChatBody', 'Request', 'parse_chat')
 
--- a/src/primrosesaddle/router.py
+++ b/src/primrosesaddle/gateway/router.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from primrosesaddle import rendezvous
+from primrosesaddle.core import rendezvous
 
 __all__ = ('Outliers', 'RetryBudget', 'Server', 'choose')
 
--- /dev/null
+++ b/src/primrosesaddle/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes, their messages, and who is there."""
--- a/src/primrosesaddle/dialler.py
+++ b/src/primrosesaddle/membership/dialler.py
@@ -5,7 +5,8 @@
 import random
 from collections.abc import Callable, Iterable
 
-from primrosesaddle import backoff, link, peers, wire
+from primrosesaddle.core import backoff
+from primrosesaddle.membership import link, peers, wire
 
 __all__ = ('Dialler',)
 
--- a/src/primrosesaddle/instances.py
+++ b/src/primrosesaddle/membership/instances.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('Instance', 'read')
 
--- a/src/primrosesaddle/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -13,7 +13,8 @@
 import zmq.auth.asyncio
 import zmq.utils.monitor
 
-from primrosesaddle import journal, wire
+from primrosesaddle.membership import wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Channel', 'ChannelClosed', 'Hub', 'Stream', 'dial', 'make_hub')
 
--- a/src/primrosesaddle/lister.py
+++ b/src/primrosesaddle/membership/lister.py
@@ -4,7 +4,9 @@
 import random
 from collections.abc import Callable
 
-from primrosesaddle import httpio, instances, journal, members, peers
+from primrosesaddle.core import httpio
+from primrosesaddle.membership import instances, members, peers
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Lister',)
 
--- a/src/primrosesaddle/members.py
+++ b/src/primrosesaddle/membership/members.py
@@ -6,7 +6,8 @@
 import time
 from collections.abc import Callable, Iterable
 
-from primrosesaddle import dialler, journal, link, peers, wire
+from primrosesaddle.membership import dialler, link, peers, wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Members',)
 
--- a/src/primrosesaddle/peers.py
+++ b/src/primrosesaddle/membership/peers.py
@@ -3,7 +3,8 @@
 import dataclasses
 from collections.abc import Iterable
 
-from primrosesaddle import link, rendezvous, wire
+from primrosesaddle.core import rendezvous
+from primrosesaddle.membership import link, wire
 
 __all__ = ('Candidate', 'Peer', 'choose_links', 'heartbeat_interval_s')
 
--- a/src/primrosesaddle/switchboard.py
+++ b/src/primrosesaddle/membership/switchboard.py
@@ -3,7 +3,8 @@
 import typing
 from collections.abc import Callable
 
-from primrosesaddle import journal, link, wire
+from primrosesaddle.membership import link, wire
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Switchboard',)
 
--- a/src/primrosesaddle/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from primrosesaddle import catalogue
+from primrosesaddle.configuration import catalogue
 
 __all__ = ('Envelope', 'decode', 'encode')
 
--- a/src/primrosesaddle/platform/__main__.py
+++ b/src/primrosesaddle/platform/__main__.py
@@ -5,8 +5,8 @@
 import os
 import sys
 
-from primrosesaddle import errors, journal
 from primrosesaddle.calls import doorway
+from primrosesaddle.core import errors
 from primrosesaddle.fleet import node
 from primrosesaddle.platform import (
     engine,
@@ -18,6 +18,7 @@
     wire,
 )
 from primrosesaddle.process import adapter, agent, entry, run
+from primrosesaddle.telemetry import journal
 
 __all__ = ('main', 'make_adapter')
 
--- a/src/primrosesaddle/platform/front.py
+++ b/src/primrosesaddle/platform/front.py
@@ -7,9 +7,10 @@
 import msgspec
 from tornado import httputil, iostream
 
-from primrosesaddle import journal, verdict
 from primrosesaddle.calls import doorway, relay
+from primrosesaddle.core import verdict
 from primrosesaddle.platform import names
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Front', 'Small')
 
--- a/src/primrosesaddle/platform/settings.py
+++ b/src/primrosesaddle/platform/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from primrosesaddle import errors
+from primrosesaddle.core import errors
 from primrosesaddle.fleet import node
 
 __all__ = ('read',)
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 
-from primrosesaddle import kernel, link, metrics, peers, wire
+from primrosesaddle.core import kernel
 from primrosesaddle.fleet import mesh, node
+from primrosesaddle.membership import link, peers, wire
 from primrosesaddle.process import adapter, listen
 from primrosesaddle.staging import depot, keeper, pieces
+from primrosesaddle.telemetry import metrics
 
 __all__ = ('Agent', 'make_agent')
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -6,7 +6,6 @@
 
 from tornado import httpserver, httputil
 
-from primrosesaddle import journal, kernel, link, metrics, pause, wire
 from primrosesaddle.calls import (
     admission,
     backends,
@@ -15,10 +14,13 @@
     placement,
     relay,
 )
+from primrosesaddle.core import kernel, pause
 from primrosesaddle.fleet import mesh, node, reader, view
+from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
 from primrosesaddle.process import adapter, goals, listen
 from primrosesaddle.staging import depot
+from primrosesaddle.telemetry import journal, metrics
 
 __all__ = ('Entry', 'make_entry')
 
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
-from primrosesaddle import journal, peers, rendezvous, wire
+from primrosesaddle.core import rendezvous
 from primrosesaddle.fleet import mesh, view
+from primrosesaddle.membership import peers, wire
 from primrosesaddle.staging import depot, pieces
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Goals',)
 
--- a/src/primrosesaddle/process/listen.py
+++ b/src/primrosesaddle/process/listen.py
@@ -2,8 +2,8 @@
 
 from tornado import httpserver, httputil, web
 
-from primrosesaddle import metrics
 from primrosesaddle.fleet import node
+from primrosesaddle.telemetry import metrics
 
 __all__ = ('serve', 'serve_metrics')
 
--- a/src/primrosesaddle/process/reload.py
+++ b/src/primrosesaddle/process/reload.py
@@ -4,8 +4,9 @@
 import os
 from collections.abc import Callable
 
-from primrosesaddle import errors, journal
+from primrosesaddle.core import errors
 from primrosesaddle.fleet import node
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Reloader',)
 
--- a/src/primrosesaddle/process/run.py
+++ b/src/primrosesaddle/process/run.py
@@ -7,9 +7,9 @@
 import typing
 from collections.abc import Callable
 
-from primrosesaddle import journal
 from primrosesaddle.fleet import node
 from primrosesaddle.process import reload
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Process', 'run')
 
--- a/src/primrosesaddle/roles.py
+++ b/src/primrosesaddle/roles.py
@@ -11,36 +11,24 @@
 
 from tornado import httpserver, httputil
 
-from primrosesaddle import (
-    admin,
-    audit,
+from primrosesaddle import settings
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import kernel
+from primrosesaddle.gateway import (
     callers,
     callerstate,
-    catalogue,
     chat,
     concurrency,
-    config,
     dispatch,
     fairqueue,
-    fetch,
     gate,
     homes,
-    journal,
-    kernel,
     limits,
-    link,
-    lister,
-    members,
-    metrics,
     once,
-    orders,
-    settings,
-    store,
-    switchboard,
-    traces,
-    weights,
-    wire,
 )
+from primrosesaddle.membership import link, lister, members, switchboard, wire
+from primrosesaddle.telemetry import admin, audit, journal, metrics, traces
+from primrosesaddle.weights import fetch, orders, store, weights
 
 __all__ = ('Process', 'make_process')
 
--- a/src/primrosesaddle/settings.py
+++ b/src/primrosesaddle/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from primrosesaddle import border, errors
+from primrosesaddle.core import border, errors
 
 __all__ = ('Settings', 'read_settings', 'split_address')
 
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -12,9 +12,11 @@
 import typing
 from collections.abc import Callable, Iterator, Sequence
 
-from primrosesaddle import backoff, journal, link, rendezvous, wire
+from primrosesaddle.core import backoff, rendezvous
+from primrosesaddle.membership import link, wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import pieces
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Depot', 'Origin', 'Peer', 'Sources')
 
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -4,8 +4,8 @@
 import collections
 from collections.abc import Callable
 
-from primrosesaddle import journal
 from primrosesaddle.staging import depot, pieces
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Fetches',)
 
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -5,9 +5,10 @@
 import typing
 from collections.abc import Callable
 
-from primrosesaddle import journal, wire
+from primrosesaddle.membership import wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import depot, fetches, pieces
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Engine', 'EngineState', 'Goal', 'Keeper', 'make_goal')
 
--- /dev/null
+++ b/src/primrosesaddle/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, traces, audit records, and what reads them."""
--- a/src/primrosesaddle/admin.py
+++ b/src/primrosesaddle/telemetry/admin.py
@@ -7,7 +7,10 @@
 import msgspec
 from tornado import web
 
-from primrosesaddle import audit, config, members, metrics, verdict
+from primrosesaddle.configuration import config
+from primrosesaddle.core import verdict
+from primrosesaddle.membership import members
+from primrosesaddle.telemetry import audit, metrics
 
 __all__ = ('Panel', 'make_application')
 
--- a/src/primrosesaddle/audit.py
+++ b/src/primrosesaddle/telemetry/audit.py
@@ -7,7 +7,7 @@
 import shlex
 from collections.abc import Callable, Iterable, Iterator
 
-from primrosesaddle import journal
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Chain', 'Finding', 'Record', 'read_records', 'verify')
 
--- /dev/null
+++ b/src/primrosesaddle/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Versions spread from agent to agent, and their switch."""
--- a/src/primrosesaddle/chunks.py
+++ b/src/primrosesaddle/weights/chunks.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from primrosesaddle import manifest as manifests
+from primrosesaddle.weights import manifest as manifests
 
 __all__ = ('ChunkTable', 'Holding')
 
--- a/src/primrosesaddle/engine.py
+++ b/src/primrosesaddle/weights/engine.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('ChatOrder', 'EngineState', 'LoadOrder', 'OrderRefused')
 
--- a/src/primrosesaddle/fetch.py
+++ b/src/primrosesaddle/weights/fetch.py
@@ -8,21 +8,10 @@
 import typing
 from collections.abc import Awaitable, Callable, Coroutine
 
-from primrosesaddle import (
-    chunks,
-    holders,
-    httpio,
-    journal,
-    link,
-    manifest,
-    members,
-    metrics,
-    pacing,
-    peers,
-    rendezvous,
-    spread,
-    wire,
-)
+from primrosesaddle.core import httpio, rendezvous
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import journal, metrics
+from primrosesaddle.weights import chunks, holders, manifest, pacing, spread
 
 __all__ = ('Fetch', 'Sources', 'WeightsConfig')
 
--- a/src/primrosesaddle/orders.py
+++ b/src/primrosesaddle/weights/orders.py
@@ -5,18 +5,11 @@
 import dataclasses
 import time
 
-from primrosesaddle import (
-    audit,
-    catalogue,
-    config,
-    engine,
-    httpio,
-    journal,
-    members,
-    pause,
-    switching,
-    weights,
-)
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.core import httpio, pause
+from primrosesaddle.membership import members
+from primrosesaddle.telemetry import audit, journal
+from primrosesaddle.weights import engine, switching, weights
 
 __all__ = ('Reconciler', 'Wanted', 'next_fence', 'wanted_by')
 
--- a/src/primrosesaddle/spread.py
+++ b/src/primrosesaddle/weights/spread.py
@@ -10,8 +10,8 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-from primrosesaddle import holders as holder_table
-from primrosesaddle import rendezvous
+from primrosesaddle.core import rendezvous
+from primrosesaddle.weights import holders as holder_table
 
 __all__ = ('Peering', 'Plan', 'Upstream', 'make_plan', 'pick_next')
 
--- a/src/primrosesaddle/store.py
+++ b/src/primrosesaddle/weights/store.py
@@ -1,6 +1,6 @@
 """The platform's weight store and origin of weights, over HTTP."""
 
-from primrosesaddle import httpio
+from primrosesaddle.core import httpio
 
 __all__ = ('read_chunk', 'read_manifest')
 
--- a/src/primrosesaddle/switching.py
+++ b/src/primrosesaddle/weights/switching.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from primrosesaddle import rendezvous
+from primrosesaddle.core import rendezvous
 
 __all__ = ('Turn', 'may_switch')
 
--- a/src/primrosesaddle/weights.py
+++ b/src/primrosesaddle/weights/weights.py
@@ -4,17 +4,9 @@
 import random
 import time
 
-from primrosesaddle import (
-    chunks,
-    fetch,
-    holders,
-    link,
-    members,
-    metrics,
-    pacing,
-    peers,
-    wire,
-)
+from primrosesaddle.membership import link, members, peers, wire
+from primrosesaddle.telemetry import metrics
+from primrosesaddle.weights import chunks, fetch, holders, pacing
 
 __all__ = ('Weights',)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 import pytest
+
 import support
 
 hypothesis.settings.register_profile(
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,7 +11,10 @@
 from demo import layout
 from demo.standins import common, conf, instancelist, plainservice, weightstore
 from demo.standins import engine as engines
-from primrosesaddle import httpio, link, roles, settings, wire
+
+from primrosesaddle import roles, settings
+from primrosesaddle.core import httpio
+from primrosesaddle.membership import link, wire
 
 __all__ = ('Cluster', 'cluster', 'eventually')
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -6,10 +6,10 @@
 
 import msgspec
 import pytest
-import support
+from demo import layout
 from testtools import assertions, matchers
 
-from demo import layout
+import support
 from primrosesaddle import settings
 
 CHAT = 'v1/chat/completions'
@@ -163,6 +163,7 @@
         (b'{"messages": [{"role": "user"}]}', {}, 400, 'model'),
         (b'{"model": "assistant", "messages": []}', {}, 400, 'messages'),
         (b'not json', {}, 400, 'body_refused'),
+        (b'{"a":' * 5000 + b'1' + b'}' * 5000, {}, 400, 'body_refused'),
         (b'{}', {'token': 'wrong'}, 401, 'token_unknown'),
         (b'x' * 70_000, {}, 413, 'body_larger_than_64000_bytes'),
         (
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import catalogue, errors, wire
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import errors
+from primrosesaddle.membership import wire
 
 OWNED = {'owner': 'platform', 'class': 'shared'}
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,13 +4,14 @@
 import json
 import random
 
-import support
 from hypothesis import settings as hsettings
 from hypothesis import stateful
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import catalogue, config, link, wire
+import support
+from primrosesaddle.configuration import catalogue, config
+from primrosesaddle.membership import link, wire
 
 OWNED = {'owner': 'platform', 'class': 'shared'}
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,13 +1,14 @@
 """Limits over all entries, against one global counter, in virtual time."""
 
 import pytest
+from bench import limitworld
 from hypothesis import given
 from hypothesis import settings as hsettings
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from bench import limitworld
-from primrosesaddle import limits, verdict
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import limits
 
 HEARD_BOUND = 1.1
 STATED_BOUND = 2.0
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -4,13 +4,14 @@
 import collections
 
 import pytest
-import support
 from hypothesis import settings as hsettings
 from hypothesis import stateful
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import once, verdict
+import support
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import once
 
 RETENTION_S = 900
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import audit, errors, journal, kernel, settings
+from primrosesaddle import settings
+from primrosesaddle.core import errors, kernel
+from primrosesaddle.telemetry import audit, journal
 
 GOOD = """
 [process]
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-import platformstand as stand
 import pytest
 from testtools import assertions, matchers
 
+import platformstand as stand
+
 
 @pytest.fixture
 def in_fleet():
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -7,10 +7,11 @@
 import time
 
 import pytest
+from demo import client, fleet, layout
 from testtools import assertions, matchers
 
-from demo import client, fleet, layout
-from primrosesaddle import httpio, once
+from primrosesaddle.core import httpio
+from primrosesaddle.gateway import once
 
 LOAD_S = 3.0
 
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -3,13 +3,14 @@
 import collections
 
 import pytest
-from hypothesis import given
+from hypothesis import given, stateful
 from hypothesis import settings as hsettings
-from hypothesis import stateful
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import catalogue, concurrency, fairqueue, verdict
+from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import verdict
+from primrosesaddle.gateway import concurrency, fairqueue
 
 Rank = catalogue.Rank
 FAR = 1e9
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from primrosesaddle import backoff, pause, peers, rendezvous, router, wire
+from primrosesaddle.core import backoff, pause, rendezvous
+from primrosesaddle.gateway import router
+from primrosesaddle.membership import peers, wire
 
 loads = st.lists(st.integers(0, 30), min_size=1, max_size=12)
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -7,7 +7,7 @@
 import pytest
 from testtools import assertions, matchers
 
-from primrosesaddle import wire
+from primrosesaddle.membership import wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import depot, fetches, keeper, pieces
 
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -2,17 +2,16 @@
 
 import asyncio
 
-import support
-from hypothesis import given
+from bench import swarm
+from demo.standins import engine as engines
+from demo.standins import weightstore
+from hypothesis import given, stateful
 from hypothesis import settings as hsettings
-from hypothesis import stateful
 from hypothesis import strategies as st
 from testtools import assertions, matchers
 
-from bench import swarm
-from demo.standins import engine as engines
-from demo.standins import weightstore
-from primrosesaddle import chunks, engine, manifest, orders, spread, switching
+import support
+from primrosesaddle.weights import chunks, engine, manifest, orders, spread, switching
 
 regions_of_agents = st.lists(st.sampled_from(['a', 'b', 'c']), min_size=1, max_size=12)
 
