--- /dev/null
+++ b/src/primrosesaddle/calls/attempts.py
@@ -0,0 +1,125 @@
+"""Attempts: one send of a call to one server, and what the answer says."""
+
+import asyncio
+import dataclasses
+import typing
+from collections.abc import Awaitable, Callable
+
+from primrosesaddle.calls import placement, request
+from primrosesaddle.core import verdict
+from primrosesaddle.net import upstream
+from primrosesaddle.telemetry import journal
+
+__all__ = ('AnswerHead', 'Attempt', 'Hooks', 'Sink', 'Wire')
+
+# An answer that is kept until it is whole is no larger than this.
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+
+Hooks = tuple[
+    Callable[[upstream.Head], None],
+    Callable[[bytes], Awaitable[None] | None],
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What the head of a server's answer says.
+
+    `signed` tells that the server vouches for the answer, `not_run` that it
+    promises not to have run the call; `load` is all that it runs and holds waiting.
+    """
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    signed: bool
+    not_run: bool
+    load: int | None
+
+
+class Sink(typing.Protocol):
+    """Where the answer of a call goes."""
+
+    def start(self, head: AnswerHead, size: int | None) -> None:
+        """Begin an answer; the size in bytes is None for a stream."""
+
+    def write(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass on a part of the body."""
+
+    def finish_answer(self) -> None:
+        """End a whole answer."""
+
+    def abort(self) -> None:
+        """End an answer so that it does not look whole."""
+
+    def refuse(self, refusal: verdict.Refusal) -> None:
+        """Answer with a refusal or failure of this system's own."""
+
+
+class Wire(typing.Protocol):
+    """How calls and answers are spelled for the servers."""
+
+    def request_headers(
+        self,
+        call: request.Call,
+        choice: placement.Choice,
+        left_s: float,
+        resume_from: int,
+        expect_version: int,
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an attempt."""
+
+    def read_head(self, head: upstream.Head) -> AnswerHead:
+        """Return what the head of an answer says."""
+
+    def answers(self, call: request.Call, headers: typing.Any) -> bool:
+        """Tell whether an answer belongs to a call."""
+
+
+class Attempt:
+    """One send of a call to one server."""
+
+    def __init__(
+        self, wire: Wire, call: request.Call, choice: placement.Choice
+    ) -> None:
+        """Prepare the send of a call to a chosen server."""
+        self._wire = wire
+        self.call = call
+        self._clock = asyncio.get_running_loop().time
+        self.choice = choice
+        self.began = self._clock()
+        self.moved_at = self.began
+        self.head: AnswerHead | None = None
+        self.stalled = False
+        self.sent = False
+        self.conn: upstream.Connection | None = None
+        self.body: list[bytes] = []
+        self.size = 0
+
+    def on_head(self, head: upstream.Head) -> None:
+        """Take the head of the answer; a stream begins at once."""
+        self.moved_at = self._clock()
+        self.head = self._wire.read_head(head)
+        if self.head.load is not None:
+            self.choice.backend.hear_load(self.head.load, self.moved_at)
+
+    def on_body(self, chunk: bytes) -> None:
+        """Keep a part of an answer that is passed on when it is whole."""
+        self.moved_at = self._clock()
+        self.size += len(chunk)
+        if self.size > MAX_BUFFERED_BYTES:
+            raise ValueError('the answer is larger than the bound')
+        self.body.append(chunk)
+
+    def give_up(self, why: str) -> None:
+        """Break the exchange off because the server makes no progress."""
+        self.stalled = True
+        journal.info(
+            'attempt.stalled',
+            id=self.call.call_id,
+            server=self.choice.backend.server_id,
+            why=why,
+            silent_s=round(self._clock() - self.moved_at, 2),
+        )
+        if self.conn is not None:
+            self.conn.close()
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -47,7 +47,6 @@
     suspect_until: float = 0.0
     suspicions: int = 0
     failures: float = 0.0
-    outcomes: int = 0
     dropped: bool = False
 
     @property
@@ -122,7 +121,6 @@
 
     def note_outcome(self, *, failed: bool) -> None:
         """Count an outcome towards the share of failures."""
-        self.outcomes += 1
         self.failures += FAILURE_WEIGHT * (float(failed) - self.failures)
         if not failed:
             self.suspicions = 0
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from primrosesaddle.calls import relay, request, routes
+from primrosesaddle.calls import attempts, relay, request, routes
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
 from primrosesaddle.telemetry import journal
@@ -52,7 +52,7 @@
         """Return the calls without a final answer."""
         return self._relay.in_flight
 
-    async def serve(self, asked: Asked, sink: relay.Sink) -> None:
+    async def serve(self, asked: Asked, sink: attempts.Sink) -> None:
         """Serve a request until its final answer is given."""
         try:
             call = self._admit(asked)
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -8,10 +8,10 @@
 
 from primrosesaddle.calls import (
     admission,
+    attempts,
     backends,
     budget,
     events,
-    placement,
     request,
     routes,
 )
@@ -20,7 +20,7 @@
 from primrosesaddle.net import pool, upstream
 from primrosesaddle.telemetry import journal, metrics
 
-__all__ = ('AnswerHead', 'Relay', 'Sink', 'Wire')
+__all__ = ('Parts', 'Relay')
 
 # A stream without an event for this long goes on elsewhere; callers give up after
 # two seconds.
@@ -28,72 +28,18 @@
 STALL_FIRST_S = 1.5  # before the first event, when a prompt may wait to be read
 IDEMPOTENT_PATIENCE = 2.0  # objectives until an idempotent call is tried elsewhere
 WATCH_S = 0.05
-# A non-idempotent call rides a kept connection only when it was in use just now.
+# A non-idempotent call takes a new connection: a reset of a kept one would leave open
+# whether it ran. Others ride one that idled no longer than this.
 UNSAFE_IDLE_S = 0.0
 SAFE_IDLE_S = 10.0
-MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 MAX_REFUSALS = 3  # servers that refuse a call before it is refused
 RETRY_AFTER_S = 0.5  # when no server is known to be able to take a call
+STATUS_MISDIRECTED = 421
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """What the head of a server's answer says.
-
-    `signed` tells that the server vouches for the answer, `not_run` that it
-    promises not to have run the call; `load` is all that it runs and holds waiting.
-    """
-
-    status: int
-    reason: str
-    headers: tuple[tuple[str, str], ...]
-    signed: bool
-    not_run: bool
-    load: int | None
-
-
-class Sink(typing.Protocol):
-    """Where the answer of a call goes."""
-
-    def start(self, head: AnswerHead, size: int | None) -> None:
-        """Begin an answer; the size in bytes is None for a stream."""
-
-    def write(self, chunk: bytes) -> Awaitable[None] | None:
-        """Pass on a part of the body."""
-
-    def finish_answer(self) -> None:
-        """End a whole answer."""
-
-    def abort(self) -> None:
-        """End an answer so that it does not look whole."""
-
-    def refuse(self, refusal: verdict.Refusal) -> None:
-        """Answer with a refusal or failure of this system's own."""
-
-
-class Wire(typing.Protocol):
-    """How calls and answers are spelled for the servers."""
-
-    def request_headers(
-        self,
-        call: request.Call,
-        choice: placement.Choice,
-        left_s: float,
-        resume_from: int,
-        expect_version: int,
-    ) -> list[tuple[str, str]]:
-        """Return the headers of an attempt."""
-
-    def read_head(self, head: upstream.Head) -> AnswerHead:
-        """Return what the head of an answer says."""
-
-    def answers(self, call: request.Call, headers: typing.Any) -> bool:
-        """Tell whether an answer belongs to a call."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Parts:
     """What a relay works with."""
@@ -103,66 +49,12 @@
     queue: admission.Admission
     kept: pool.Pool
     repeats: budget.RepeatBudget
-    wire: Wire
+    wire: attempts.Wire
     metrics: metrics.Metrics
     rand: random.Random
     required: Callable[[str], int]
 
 
-_Hooks = tuple[
-    Callable[[upstream.Head], None],
-    Callable[[bytes], Awaitable[None] | None],
-]
-
-
-class _Attempt:
-    """One send of a call to one server."""
-
-    def __init__(
-        self, parts: Parts, call: request.Call, choice: placement.Choice
-    ) -> None:
-        self._parts = parts
-        self.call = call
-        self._clock = asyncio.get_running_loop().time
-        self.choice = choice
-        self.began = self._clock()
-        self.moved_at = self.began
-        self.head: AnswerHead | None = None
-        self.stalled = False
-        self.sent = False
-        self.conn: upstream.Connection | None = None
-        self.body: list[bytes] = []
-        self.size = 0
-
-    def on_head(self, head: upstream.Head) -> None:
-        """Take the head of the answer; a stream begins at once."""
-        self.moved_at = self._clock()
-        self.head = self._parts.wire.read_head(head)
-        if self.head.load is not None:
-            self.choice.backend.hear_load(self.head.load, self.moved_at)
-
-    def on_body(self, chunk: bytes) -> None:
-        """Keep a part of an answer that is passed on when it is whole."""
-        self.moved_at = self._clock()
-        self.size += len(chunk)
-        if self.size > MAX_BUFFERED_BYTES:
-            raise ValueError('the answer is larger than the bound')
-        self.body.append(chunk)
-
-    def give_up(self, why: str) -> None:
-        """Break the exchange off because the server makes no progress."""
-        self.stalled = True
-        journal.info(
-            'attempt.stalled',
-            id=self.call.call_id,
-            server=self.choice.backend.server_id,
-            why=why,
-            silent_s=round(self._clock() - self.moved_at, 2),
-        )
-        if self.conn is not None:
-            self.conn.close()
-
-
 class Relay:
     """Relay calls to backend servers, and give each its final answer."""
 
@@ -170,10 +62,10 @@
         """Create a relay."""
         self._parts = parts
         self._clock = asyncio.get_running_loop().time
-        self._attempts: set[_Attempt] = set()
+        self._attempts: set[attempts.Attempt] = set()
         self.in_flight = 0
 
-    async def serve(self, call: request.Call, sink: Sink) -> None:
+    async def serve(self, call: request.Call, sink: attempts.Sink) -> None:
         """Serve a call until its final answer is given.
 
         Cancelling this ends the work at the server, as when the caller left.
@@ -203,13 +95,13 @@
             self._parts.kept.sweep()
 
     async def _serve(
-        self, call: request.Call, sink: Sink, cutter: events.EventCutter
+        self, call: request.Call, sink: attempts.Sink, cutter: events.EventCutter
     ) -> None:
         service = self._service_of(call)
         while True:
             choice = await self._parts.queue.place(call, service)
             call.placed = choice.describe(self._clock())
-            attempt = _Attempt(self._parts, call, choice)
+            attempt = attempts.Attempt(self._parts.wire, call, choice)
             try:
                 done = await self._run(attempt, call, sink, cutter, service)
             finally:
@@ -220,9 +112,9 @@
 
     async def _run(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         call: request.Call,
-        sink: Sink,
+        sink: attempts.Sink,
         cutter: events.EventCutter,
         service: routes.Service,
     ) -> bool:
@@ -238,7 +130,7 @@
         else:
             self._parts.repeats.first(service.name)
         call.tried.append(backend.server_id)
-        hooks: _Hooks = (attempt.on_head, attempt.on_body)
+        hooks: attempts.Hooks = (attempt.on_head, attempt.on_body)
         if call.route.kind is routes.Kind.STREAM:
             hooks = self._stream_hooks(attempt, call, sink, cutter)
         exchange = upstream.Exchange(
@@ -265,7 +157,7 @@
         return self._settle(attempt, call, sink, cutter, ending)
 
     async def _connect(
-        self, attempt: _Attempt, call: request.Call
+        self, attempt: attempts.Attempt, call: request.Call
     ) -> upstream.Connection | None:
         backend = attempt.choice.backend
         max_idle_s = SAFE_IDLE_S if call.route.repeatable else UNSAFE_IDLE_S
@@ -280,7 +172,7 @@
             return None
 
     def _headers(
-        self, attempt: _Attempt, call: request.Call, cutter: events.EventCutter
+        self, attempt: attempts.Attempt, call: request.Call, cutter: events.EventCutter
     ) -> list[tuple[str, str]]:
         version = attempt.choice.version
         required = self._parts.required(call.model) if call.model else 0
@@ -294,11 +186,11 @@
 
     def _stream_hooks(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         call: request.Call,
-        sink: Sink,
+        sink: attempts.Sink,
         cutter: events.EventCutter,
-    ) -> _Hooks:
+    ) -> attempts.Hooks:
         """Return hooks that pass the whole events of a stream on as they come."""
         cutter.restart()
 
@@ -317,7 +209,9 @@
 
         return attempt.on_head, on_body
 
-    def _start_stream(self, attempt: _Attempt, call: request.Call, sink: Sink) -> None:
+    def _start_stream(
+        self, attempt: attempts.Attempt, call: request.Call, sink: attempts.Sink
+    ) -> None:
         if not call.answering and attempt.head is not None:
             call.answering = True
             first_s = self._clock() - call.arrived
@@ -330,9 +224,9 @@
 
     def _settle(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         call: request.Call,
-        sink: Sink,
+        sink: attempts.Sink,
         cutter: events.EventCutter,
         ending: upstream.Ending,
     ) -> bool:
@@ -347,6 +241,8 @@
             return False
         if head.not_run:
             call.refused_by.append(backend.server_id)
+            if head.status == STATUS_MISDIRECTED:
+                backend.suspect(self._clock(), 'not the server or version expected')
             self._log_attempt(attempt, call, 'refused')
             return False
         if not head.signed:
@@ -365,12 +261,12 @@
 
     def _answer(
         self,
-        attempt: _Attempt,
+        attempt: attempts.Attempt,
         call: request.Call,
-        sink: Sink,
+        sink: attempts.Sink,
         cutter: events.EventCutter,
     ) -> None:
-        head = typing.cast(AnswerHead, attempt.head)
+        head = typing.cast(attempts.AnswerHead, attempt.head)
         if call.answering:
             rest = cutter.rest()
             if rest:
@@ -438,7 +334,9 @@
             return verdict.not_run('time_limit', STATUS_UNAVAILABLE, RETRY_AFTER_S)
         return verdict.may_have_run('time_limit', STATUS_TIMEOUT)
 
-    def _fail(self, call: request.Call, sink: Sink, refusal: verdict.Refusal) -> None:
+    def _fail(
+        self, call: request.Call, sink: attempts.Sink, refusal: verdict.Refusal
+    ) -> None:
         if call.worst is not verdict.Verdict.NOT_RUN and refusal.retryable:
             refusal = verdict.may_have_run(refusal.reason, STATUS_BAD_GATEWAY)
         if call.answering:
@@ -448,7 +346,7 @@
         sink.refuse(refusal)
         self._log(call, 'refused', refusal.status, reason=refusal.reason)
 
-    def _check(self, attempt: _Attempt, now: float) -> None:
+    def _check(self, attempt: attempts.Attempt, now: float) -> None:
         call = attempt.call
         if attempt.stalled or not call.route.repeatable or not self._may_repeat(call):
             return
@@ -457,14 +355,16 @@
         if silent_s > limit_s:
             attempt.give_up(f'limit_s={limit_s:.2f}')
 
-    def _patience_s(self, attempt: _Attempt, call: request.Call) -> float:
+    def _patience_s(self, attempt: attempts.Attempt, call: request.Call) -> float:
         if call.route.kind is not routes.Kind.STREAM:
             return IDEMPOTENT_PATIENCE * call.route.objective_s
         if call.answering:
             return STALL_S
         return STALL_FIRST_S + attempt.choice.predicted_s
 
-    def _log_attempt(self, attempt: _Attempt, call: request.Call, outcome: str) -> None:
+    def _log_attempt(
+        self, attempt: attempts.Attempt, call: request.Call, outcome: str
+    ) -> None:
         head = attempt.head
         journal.info(
             f'attempt.{outcome}',
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -82,12 +82,6 @@
         """Return the seconds in which an engine reads the usual prompt."""
         return self.usual_prompt / self.read_tokens_per_s
 
-    @property
-    def service_s(self) -> float:
-        """Return the seconds of a slot that the usual call takes on a full engine."""
-        steps = self.usual_answer / self.steps_per_event
-        return steps * (self.event_s + self.usual_read_s * self.slots / max(steps, 1))
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
@@ -170,16 +164,6 @@
                 return service.origin
         return None
 
-    @property
-    def engine_of(self) -> dict[str, EngineProfile]:
-        """Return the engine profile of every model."""
-        return {
-            model: service.engine
-            for service in self.services.values()
-            if service.engine is not None
-            for model in service.engine.models
-        }
-
 
 def make_configuration(
     version: int,
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -46,7 +46,6 @@
         self._failures = 0
         self._failing_since = 0.0
         self._after: int | None = None
-        self.in_step = False
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
@@ -76,7 +75,6 @@
             self._note_success()
             self._view.replace(snapshot, 'store')
             self._after = snapshot.revision
-            self.in_step = True
             journal.info(
                 'store.read', items=len(snapshot.items), revision=snapshot.revision
             )
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -53,7 +53,6 @@
         """Wrap a connected stream."""
         self.address = address
         self.stream = stream
-        self.exchanges = 0
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
         self.may_be_kept = True
@@ -102,7 +101,6 @@
         self._stray = False
         self._until_close = False
         self._whole = False
-        self.has_head = False
 
     def send(self, method: str, target: str, headers: Pairs, body: bytes) -> None:
         """Send the request whole; the length is added to its headers."""
@@ -112,7 +110,6 @@
         if body or method not in {'GET', 'HEAD', 'DELETE', 'OPTIONS'}:
             found['Content-Length'] = str(len(body))
         start = httputil.RequestStartLine(method, target, 'HTTP/1.1')
-        self._conn.exchanges += 1
         with contextlib.suppress(iostream.StreamClosedError):
             sent = self._http.write_headers(start, found, body)
             sent.add_done_callback(_retrieve)
@@ -150,7 +147,6 @@
         self._stray = not self._is_mine(headers)
         if self._stray:
             return
-        self.has_head = True
         self._until_close = (
             line.code not in _NO_BODY
             and 'Content-Length' not in headers
--- a/src/primrosesaddle/platform/front.py
+++ b/src/primrosesaddle/platform/front.py
@@ -7,7 +7,7 @@
 import msgspec
 from tornado import httputil, iostream
 
-from primrosesaddle.calls import doorway, relay
+from primrosesaddle.calls import attempts, doorway
 from primrosesaddle.core import verdict
 from primrosesaddle.platform import names
 from primrosesaddle.telemetry import journal
@@ -80,7 +80,7 @@
         """Drop a request whose caller left while it was read."""
         self._done = True
 
-    def start(self, head: relay.AnswerHead, size: int | None) -> None:
+    def start(self, head: attempts.AnswerHead, size: int | None) -> None:
         """Begin an answer."""
         headers = httputil.HTTPHeaders()
         for name, text in head.headers:
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -11,8 +11,6 @@
 __all__ = ('decode',)
 
 _MS = 1000.0
-_BITS = 8
-_MEGA = 1_000_000
 
 _Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 _Address = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -48,7 +48,6 @@
         """Prepare calls to an IP:PORT address."""
         self._reads = call.Client(address)
         self._watches = call.Client(address)
-        self.calls = 0
 
     async def read_all(self) -> view.Snapshot:
         """Return every item, page by page, at the revision of the first page.
@@ -97,7 +96,6 @@
         timeout_s: float,
         decoder: typing.Any,
     ) -> typing.Any:
-        self.calls += 1
         answer = await client.call('GET', target, timeout_s)
         if answer.status == GONE:
             raise _HistoryGone
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -2,7 +2,7 @@
 
 from tornado import httputil
 
-from primrosesaddle.calls import placement, relay, request
+from primrosesaddle.calls import attempts, placement, request
 from primrosesaddle.net import upstream
 from primrosesaddle.platform import names
 
@@ -36,7 +36,7 @@
     return headers
 
 
-def read_head(head: upstream.Head) -> relay.AnswerHead:
+def read_head(head: upstream.Head) -> attempts.AnswerHead:
     """Return what the head of an answer says."""
     headers = head.headers
     pairs = tuple(
@@ -44,7 +44,7 @@
         for name, text in headers.get_all()
         if name.lower() not in names.NOT_RETURNED
     )
-    return relay.AnswerHead(
+    return attempts.AnswerHead(
         head.status,
         head.reason,
         pairs,
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -6,7 +6,7 @@
 
 from tornado import httputil
 
-from primrosesaddle.calls import doorway, relay
+from primrosesaddle.calls import attempts, doorway
 from primrosesaddle.fleet import reader, view
 from primrosesaddle.staging import depot, keeper
 
@@ -39,6 +39,6 @@
     decode: view.Decode
     source: reader.Source
     front: Front
-    wire: relay.Wire
+    wire: attempts.Wire
     engine: Callable[[str], keeper.Engine]
     origin: Callable[[str], depot.Origin]
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -74,6 +74,7 @@
         self._mesh.board.on(wire.Want, self._depot.serve)
         self._metrics.gauge('origin_bytes', lambda: self._depot.origin_bytes)
         self._metrics.gauge('peer_bytes', lambda: self._depot.peer_bytes)
+        self._metrics.gauge('connections_opened', lambda: self._kept.opened)
         self._metrics.gauge('in_flight', lambda: self._door.in_flight)
         self._metrics.gauge('waiting', self._queue.waiting)
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -98,6 +98,19 @@
     in_fleet(check, *servers)
 
 
+def test_misdirected_server_is_left_alone(in_fleet):
+    """A server that is not the one expected gets no call after call."""
+    gone = stand.Server('a', stand.answer(421, b'', sealed=False))
+    sound = stand.Server('b')
+
+    async def check(fleet):
+        for _ in range(12):
+            _same((await fleet.call('/read/1')).status, 200)
+        assert len(gone.seen) <= 2
+
+    in_fleet(check, gone, sound)
+
+
 def test_unsigned_success_is_no_answer(in_fleet):
     """A success without the server's seal never reaches a caller."""
     server = stand.Server('a', stand.answer(200, b'forged', sealed=False))
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -43,7 +43,5 @@
             now[0] += 1.0
             journal.info('test.last')
     lines = path.read_text().splitlines()
-    assertions.assert_that(
-        len(lines), matchers.Equals(int(journal.BURST_LINES) + 2)
-    )
+    assertions.assert_that(len(lines), matchers.Equals(int(journal.BURST_LINES) + 2))
     assert lines[-1].endswith(f'event=log.dropped lines={extra}')
