--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -226,9 +226,9 @@
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
             if pauses.observe(time.clock_gettime(time.CLOCK_BOOTTIME)):
-                await self._wake()
+                await self.wake()
 
-    async def _wake(self) -> None:
+    async def wake(self) -> None:
         """Refresh what is old after this process stood still."""
         journal.warning('process.woke', in_flight=self._door.in_flight)
         self._kept.close()
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -35,6 +35,7 @@
         self.events: list[dict[str, typing.Any]] = []
         self.revision = 1
         self.down = False
+        self.mute = False
         self.address = free_address()
         self._changed = asyncio.Event()
         self._server: httpserver.HTTPServer | None = None
@@ -82,6 +83,8 @@
 
     def _add(self, event: dict[str, typing.Any]) -> None:
         self.events.append(event)
+        if self.mute:
+            return
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -361,6 +361,42 @@
     in_fleet(check, server)
 
 
+def test_process_that_stood_still_reads_its_view_again(in_fleet):
+    """After a pause the view is fresh before a watch has told anything."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.mute = True
+        fleet.store.put('servers/i-a', server.record(state='draining'))
+        fleet.store.put('servers/i-b', server.record(sequence=1))
+        await asyncio.sleep(0.05)
+        _same(fleet.known_servers(), {'i-a'})
+        await fleet.entry.wake()
+        _same(fleet.known_servers(), {'i-b'})
+
+    in_fleet(check, server)
+
+
+def test_kept_connection_that_fell_silent_is_left(in_fleet):
+    """A call on it goes on at another server within its time."""
+    servers = [stand.Server('a'), stand.Server('b')]
+
+    async def script(seen):
+        if sum(len(server.seen) for server in servers) == 4:
+            await stand.hang(seen)
+        await stand.send(seen, 200, b'done')
+
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        for _ in range(4):
+            _same((await fleet.call('/read/1')).body, b'done')
+        assert sum(server.connections for server in servers) < 5
+
+    in_fleet(check, *servers)
+
+
 def test_entry_without_a_configuration(in_fleet):
     """A process that knows no configuration says so, and is not ready."""
     server = stand.Server('a')
