Dial a silent machine again after 0.3 s

Cause: after a loss of power an agent whose seeds start after it met them a second later, because TCP sends its first packet again only then (agents started at 35.5 s, their goals came at 36.53 s).

--- a/src/primrosesaddle/membership/dialler.py
+++ b/src/primrosesaddle/membership/dialler.py
@@ -12,6 +12,10 @@
 
 DIAL_FIRST_S = 0.1
 DIAL_CEILING_S = 1.0
+# A machine without power drops what is sent, and TCP tries again after a second.
+# A new connection tries sooner; it waits twice as long each time, for slow links.
+ANSWER_FIRST_S = 0.3
+MOST_DOUBLINGS = 10  # beyond any time in which a peer counts as dead
 CONCURRENT_DIALS = 8
 
 
@@ -95,7 +99,8 @@
             if attempt.conn is None:
                 continue
             last = max(heard(attempt.conn.channel), attempt.since)
-            if attempt.conn.channel.closed or now - last > dead_s:
+            patience_s = _patience_s(attempt, dead_s)
+            if attempt.conn.channel.closed or now - last > patience_s:
                 self._hang_up(attempt)
                 attempt.retry_at = now + backoff.delay_s(
                     attempt.attempts,
@@ -127,3 +132,11 @@
             attempt.conn.close()
         attempt.conn = None
         attempt.tasks = ()
+
+
+def _patience_s(attempt: _Attempt, dead_s: float) -> float:
+    """Return how long a connection may be silent."""
+    if not attempt.pending:
+        return dead_s
+    doublings = min(attempt.attempts, MOST_DOUBLINGS)
+    return min(dead_s, ANSWER_FIRST_S * 2**doublings)
