Let servers that hold a half of the layers each serve together

Cause: after a loss of power of all machines nothing is generated for 6 s, as an agent's link takes 4.4 s for a copy of the weights, and a server was used only with all of its layers.

An empty server loads the half that its place among the servers of its data centre gives it as soon as that is fetched, and the whole when the rest is there. Entries that find no whole server with a place send calls through two that hold the layers between them, at one version, in one data centre, known by fresh reports. The records' layers are decoded: they stand beside the models, not in them, and are one run of layers; an order names all that shall be held.

Tried first: orders for the second half alone.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -111,6 +111,8 @@
     def release(self, call: request.Call, choice: placement.Choice) -> None:
         """Give a place back, and let the next call have it."""
         choice.backend.end(call)
+        for stop in choice.chain[1:]:
+            stop.backend.passing -= 1
         self.pump(choice.backend.record.service)
 
     def note_start(self, service: str, start_s: float) -> None:
@@ -188,6 +190,8 @@
         now: float,
     ) -> None:
         choice.backend.begin(call)
+        for stop in choice.chain[1:]:
+            stop.backend.passing += 1
         queue.granted.append(now)
 
     def _hold_s(
--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -27,6 +27,7 @@
 
     `signed` tells that the server vouches for the answer, `not_run` that it
     promises not to have run the call; `load` is all that it runs and holds waiting.
+    `at_fault` is the address of the server of a chain that could not do its part.
     """
 
     status: int
@@ -35,6 +36,7 @@
     signed: bool
     not_run: bool
     load: int | None
+    at_fault: str = ''
 
 
 class Sink(typing.Protocol):
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -1,9 +1,10 @@
 """Backend servers as an entry sees them: published record, report, own calls."""
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from primrosesaddle.calls import request
+from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.telemetry import journal
 
@@ -27,7 +28,7 @@
     at: float
     active: int
     queued: int
-    models: dict[str, int]
+    models: Mapping[str, layers.Span]
     switching: bool
     pace: float = 1.0
     reachable: bool = True
@@ -48,6 +49,7 @@
     suspicions: int = 0
     failures: float = 0.0
     dropped: bool = False
+    passing: int = 0  # own calls that begin elsewhere and pass through here
 
     @property
     def server_id(self) -> str:
@@ -73,12 +75,12 @@
         """Return the calls at the server, those of other entries included."""
         return len(self.calls) + self._others(now)
 
-    def models(self, now: float) -> dict[str, int]:
-        """Return what the server serves, by the freshest word."""
+    def layers_of(self, model: str, now: float) -> layers.Span | None:
+        """Return the layers of a model that the server runs, by the freshest word."""
         report = self.fresh_report(now)
         if report is None:
-            return dict(self.record.models)
-        return {} if report.switching else report.models
+            return self.record.models.get(model)
+        return None if report.switching else report.models.get(model)
 
     def hear(self, report: Report) -> None:
         """Take the agent's report."""
@@ -168,6 +170,11 @@
         """Return the servers of a service that may get work."""
         return self._by_service.get(service, [])
 
+    def at(self, address: str) -> Backend | None:
+        """Return the server at an address, or None."""
+        found = self._by_address.get(address)
+        return found[-1] if found else None
+
     def get(self, server_id: str) -> Backend | None:
         """Return a server by its id, or None."""
         return self._by_id.get(server_id)
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping
+import typing
+from collections.abc import Callable, Mapping, Sequence
 
 from primrosesaddle.calls import backends, request, routes
+from primrosesaddle.core import layers
 
-__all__ = ('Choice', 'Placer')
+__all__ = ('Choice', 'Placer', 'Stop')
 
 # Added to a prediction for a server elsewhere: the way there and back, and the
 # price of bytes between data centres.
@@ -26,13 +28,29 @@
 MAX_UNREAD_TOKENS = 1000
 
 
+class Stop(typing.NamedTuple):
+    """A server of a chain, and the layers that it runs."""
+
+    backend: backends.Backend
+    first: int
+    end: int
+
+
+_Holder = tuple[backends.Backend, layers.Span]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """A server and the prediction that chose it, in seconds to the first byte."""
+    """A server and the prediction that chose it, in seconds to the first byte.
+
+    A chain lists the servers that run the layers in order, when no server holds
+    all of them; the first one takes the call.
+    """
 
     backend: backends.Backend
     predicted_s: float
     version: int
+    chain: tuple[Stop, ...] = ()
 
     def describe(self, now: float) -> str:
         """Return what decided, for the log: prediction, load and its age."""
@@ -78,13 +96,13 @@
             if not self._has_place(backend, call, service, now):
                 continue
             predicted_s = self._predict_s(backend, call, service, now)
-            score = predicted_s + self._distance_s(backend)
-            score += FAILURE_COST_S * backend.failures
-            score += self._rand.uniform(0, TIE_S)
+            score = self._score(backend, predicted_s)
             if best is None or score < best_score:
-                version = backend.models(now).get(call.model, 0)
+                version = self._version(backend, call, service, now)
                 best = Choice(backend, predicted_s, version)
                 best_score = score
+        if best is None and service.engine is not None and call.model:
+            return self._choose_chain(call, service, required)
         return best
 
     def usable(
@@ -98,11 +116,73 @@
             for backend in self._table.of(service.name)
             if self._table.serves(backend)
             and backend.server_id not in call.tried
-            and backend.models(now).get(call.model, 0) >= least
+            and self._version(backend, call, service, now) >= least
         ]
         sound = [backend for backend in found if not self._table.is_ejected(backend)]
         return sound or found
 
+    def _choose_chain(
+        self, call: request.Call, service: routes.Service, required: int
+    ) -> Choice | None:
+        """Return servers that hold all layers between them, or None.
+
+        They stand in one data centre, as every token passes from one to the next.
+        """
+        now = self._clock()
+        held = self._partly_held(call, service, required, now)
+        best: Choice | None = None
+        best_score = 0.0
+        for backend, span in held:
+            if not self._has_place(backend, call, service, now):
+                continue
+            predicted_s = self._predict_s(backend, call, service, now)
+            score = self._score(backend, predicted_s)
+            if best is not None and score >= best_score:
+                continue
+            chain = _chain(held, backend, span.version, _layers(service))
+            if chain:
+                best = Choice(backend, predicted_s, span.version, chain)
+                best_score = score
+        return best
+
+    def _partly_held(
+        self, call: request.Call, service: routes.Service, required: int, now: float
+    ) -> list[_Holder]:
+        """Return the servers that hold some layers of an allowed version."""
+        count = _layers(service)
+        reporting = [
+            backend
+            for backend in self._table.of(service.name)
+            if self._table.serves(backend)
+            and backend.server_id not in call.tried
+            and backend.fresh_report(now) is not None
+        ]
+        spans = [backend.layers_of(call.model, now) for backend in reporting]
+        return [
+            (backend, span)
+            for backend, span in zip(reporting, spans, strict=True)
+            if span is not None
+            and span.version >= required
+            and not layers.whole_version(span, count)
+        ]
+
+    def _version(
+        self,
+        backend: backends.Backend,
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> int:
+        """Return the version of the call's model that a server holds whole."""
+        held = backend.layers_of(call.model, now)
+        return layers.whole_version(held, _layers(service))
+
+    def _score(self, backend: backends.Backend, predicted_s: float) -> float:
+        """Return what to choose by, less being better."""
+        score = predicted_s + self._distance_s(backend)
+        score += FAILURE_COST_S * backend.failures
+        return score + self._rand.uniform(0, TIE_S)
+
     def _has_place(
         self,
         backend: backends.Backend,
@@ -149,6 +229,36 @@
         return OTHER_REGION_S
 
 
+def _layers(service: routes.Service) -> int:
+    return service.engine.layer_count if service.engine else 0
+
+
+def _chain(
+    holders: Sequence[_Holder], head: backends.Backend, version: int, count: int
+) -> tuple[Stop, ...]:
+    """Return the stops of a chain that begins at a server, empty for none."""
+    near = [
+        (backend, span)
+        for backend, span in holders
+        if backend.record.data_centre == head.record.data_centre
+        and span.version == version
+    ]
+    stops: list[Stop] = []
+    begin = 0
+    while begin < count:
+        found = [
+            (backend, span.end)
+            for backend, span in near
+            if (backend is head) == (not stops) and span.first <= begin < span.end
+        ]
+        if not found:
+            return ()
+        backend, end = min(found, key=lambda pair: pair[0].passing)
+        stops.append(Stop(backend, begin, min(end, count)))
+        begin = end
+    return tuple(stops)
+
+
 def _reserved(call: request.Call) -> int:
     """Return the places of a server that a call leaves to others."""
     if call.answering:
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -181,7 +181,7 @@
             attempt.choice,
             call.final_at - self._clock(),
             cutter.last_id,
-            version if required and version >= required else 0,
+            version if attempt.choice.chain or 0 < required <= version else 0,
         )
 
     def _stream_hooks(
@@ -241,8 +241,9 @@
             return False
         if head.not_run:
             call.refused_by.append(backend.server_id)
-            if head.status == STATUS_MISDIRECTED:
-                backend.suspect(self._clock(), 'not the server or version expected')
+            faulty = self._parts.table.at(head.at_fault) or backend
+            if head.status == STATUS_MISDIRECTED or faulty is not backend:
+                faulty.suspect(self._clock(), 'not the server or layers expected')
             self._log_attempt(attempt, call, 'refused')
             return False
         if not head.signed:
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -67,6 +67,7 @@
     usual_prompt: int
     usual_answer: int
     models: tuple[str, ...]
+    layer_count: int
     pieces: int
     piece_bytes: int
     load_s: float
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -175,4 +175,5 @@
         'engine' if cfg.server else '',
         cfg.listen.callers or '',
         cfg.link_bytes_per_s,
+        cfg.server or '',
     )
--- a/src/primrosesaddle/fleet/servers.py
+++ b/src/primrosesaddle/fleet/servers.py
@@ -3,12 +3,14 @@
 import dataclasses
 from collections.abc import Mapping
 
+from primrosesaddle.core import layers
+
 __all__ = ('BackendServer', 'WantedVersion')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
-    """One backend server; `models` maps what it holds whole to its version."""
+    """One backend server; `models` maps a model to the layers that it holds."""
 
     server_id: str
     service: str
@@ -16,7 +18,7 @@
     data_centre: str
     slots: int
     leaving: bool
-    models: Mapping[str, int]
+    models: Mapping[str, layers.Span]
     born_ms: int = 0
 
 
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -225,7 +225,7 @@
             service=record.service,
             address=record.address,
             leaving=record.leaving,
-            models=dict(record.models),
+            models={name: tuple(held) for name, held in record.models.items()},
             revision=item.revision,
             source=source,
         )
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -3,12 +3,13 @@
 import msgspec
 
 from primrosesaddle.configuration import catalogue
+from primrosesaddle.core import layers
 
 __all__ = ('Envelope', 'decode', 'encode')
 
 
 class Card(msgspec.Struct, array_like=True, frozen=True):
-    """Who a process is; an agent's card names what its server serves."""
+    """Who a process is; an agent's card names its server and what that serves."""
 
     name: str
     role: str
@@ -20,6 +21,7 @@
     server_kind: str = ''
     callers: str = ''
     link_bytes_per_s: float = 0
+    server: str = ''
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
@@ -239,7 +241,7 @@
     reachable: bool
     active: int = 0
     queued: int = 0
-    models: dict[str, int] = {}
+    models: dict[str, layers.Span] = {}
     switching: bool = False
     pace: float = 1.0
 
@@ -247,7 +249,8 @@
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
     """The version that servers of a model shall hold, named `age_s` ago.
 
-    `place` is the receiver's, from 0 to 1, in the order in which servers switch.
+    `place` is the receiver's, from 0 to 1, in the order in which servers switch;
+    `part` is the part of the layers that it loads first, of those that there are.
     """
 
     model: str
@@ -256,6 +259,8 @@
     origin: str
     origin_region: str
     place: float = 0.0
+    layer_count: int = 0
+    part: int = 0
 
 
 Body = (
--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
+from primrosesaddle.core import layers
 from primrosesaddle.net import call
 from primrosesaddle.platform import names, records
-from primrosesaddle.staging import keeper, pieces
+from primrosesaddle.staging import keeper
 
 __all__ = ('Engine',)
 
@@ -20,6 +21,7 @@
 
 class _Report(msgspec.Struct, rename='camel'):
     models: list[records.Held] = msgspec.field(default_factory=list)
+    layers: records.Layers | None = None
     # Whether an order is being carried out, not whether requests run.
     busy: bool = False
     active: int = 0
@@ -45,7 +47,7 @@
         answer = await self._call('GET', names.REPORT_PATH, REPORT_TIMEOUT_S)
         found = _decode(answer.body, _Report)
         return keeper.EngineState(
-            records.held_models(found.models),
+            records.held_layers(found.models, found.layers),
             found.busy,
             found.active,
             found.queued,
@@ -73,16 +75,21 @@
         target = f'{names.STAGE_PUT_PATH}/{model}?{names.PIECE_INDEX}={index}'
         await self._call('PUT', target, STAGE_TIMEOUT_S, body)
 
-    async def load(self, version: pieces.Version) -> bool:
-        """Order the staged version loaded, and return whether it was accepted.
+    async def load(self, model: str, span: layers.Span) -> bool:
+        """Order that these layers be held, and return whether that was accepted.
+
+        Those that the engine holds already are kept, all others are loaded as they
+        are staged.
 
         Raises `call.CallFailed` when it is not known whether it was.
         """
         order = {
             'op': 'start',
-            'model': version.model,
-            'version': version.number,
+            'model': model,
+            'version': span.version,
             'switchMode': 'queue',
+            'from': span.first,
+            'to': span.end,
         }
         body = msgspec.json.encode(order)
         answer = await self._client.call(
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -39,6 +39,11 @@
 # The caller's estimate of the answer's tokens.
 LENGTH_HINT = 'X-Length-Hint'
 LAST_EVENT_ID = 'Last-Event-Id'
+# The servers that run a request's layers, in order, as address=first-end; it is no
+# file or URL path.
+CHAIN = 'Path'
+# The address of the server that kept a request from running.
+AT_FAULT = 'At-Server'
 AUTHORIZATION = 'Authorization'
 BEARER = 'Bearer '
 
@@ -61,6 +66,7 @@
         DEADLINE_MS,
         EXPECT_INSTANCE,
         EXPECT_VERSION,
+        CHAIN,
         PRIORITY,
         TENANT,
     )
--- a/src/primrosesaddle/platform/origin.py
+++ b/src/primrosesaddle/platform/origin.py
@@ -15,6 +15,7 @@
 
 class _Manifest(msgspec.Struct):
     digests: list[str]
+    layers: int = 0
 
 
 class Origin:
@@ -37,7 +38,7 @@
             found = msgspec.json.decode(answer.body, type=_Manifest)
         except msgspec.MsgspecError as exc:
             raise call.CallFailed(f'{target}: {exc}') from None
-        return pieces.Digests(version, tuple(found.digests))
+        return pieces.Digests(version, tuple(found.digests), found.layers)
 
     async def piece(self, version: pieces.Version, index: int) -> bytes:
         """Read a piece; it may come spoilt.
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -5,12 +5,14 @@
 import msgspec
 
 from primrosesaddle.calls import routes
+from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.platform import names
 
 __all__ = ('decode',)
 
 _MS = 1000.0
+_ALL_LAYERS = 2**31  # more than any model has
 
 _Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 _Address = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
@@ -58,6 +60,7 @@
     stride: int = 1
     usual: _Usual = msgspec.field(default_factory=_Usual)
     models: list[_ModelSpeed] = msgspec.field(default_factory=list)
+    layers: int = 0
     chunks: int = 0
     chunk_bytes: int = msgspec.field(name='chunkBytes', default=0)
 
@@ -97,7 +100,7 @@
     version: typing.Annotated[int, msgspec.Meta(ge=1)]
 
 
-class _Layers(msgspec.Struct, rename={'first': 'from', 'end': 'to'}):
+class Layers(msgspec.Struct, rename={'first': 'from', 'end': 'to'}):
     first: int = 0
     end: int = 0
     version: int = 0
@@ -106,7 +109,6 @@
 class Held(msgspec.Struct):
     name: str
     version: int
-    layers: list[_Layers] | None = None
 
 
 class _Server(msgspec.Struct, rename='camel'):
@@ -120,6 +122,8 @@
     cold_remaining_ms: float
     sequence: _Count
     models: list[Held] = msgspec.field(default_factory=list)
+    # The one run of layers that the server holds of its model.
+    layers: Layers | None = None
     born: _Count = 0
 
 
@@ -150,14 +154,17 @@
     return None
 
 
-def held_models(held: list[Held]) -> dict[str, int]:
-    """Return the models that a server holds whole, with their versions."""
-    return {
-        model.name: model.version
-        for model in held
-        if model.layers is None
-        or (model.layers and {part.version for part in model.layers} == {model.version})
-    }
+def held_layers(models: list[Held], told: Layers | None) -> dict[str, layers.Span]:
+    """Return the layers that a server holds, by model.
+
+    A server that does not tell its layers holds all of them.
+    """
+    if told is None:
+        return {
+            model.name: layers.Span(0, _ALL_LAYERS, model.version) for model in models
+        }
+    held = layers.Span(told.first, told.end, told.version)
+    return {model.name: held for model in models if held.first < held.end}
 
 
 def _server(server_id: str, found: _Server) -> servers.BackendServer:
@@ -170,7 +177,7 @@
         found.zone,
         found.slots,
         found.state == names.DRAINING,
-        held_models(found.models),
+        held_layers(found.models, found.layers),
         found.born,
     )
 
@@ -225,6 +232,7 @@
             int(engine.usual.prompt),
             int(engine.usual.answer),
             tuple(model.name for model in engine.models),
+            engine.layers,
             engine.chunks,
             engine.chunk_bytes,
             max((model.warm_s for model in engine.models), default=0),
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -1,5 +1,7 @@
 """Requests and answers between entry and server, as the platform spells them."""
 
+from collections.abc import Sequence
+
 from tornado import httputil
 
 from primrosesaddle.calls import attempts, placement, request
@@ -31,6 +33,8 @@
         headers.append((names.TENANT, call.workspace))
     if call.model:
         headers.append((names.PRIORITY, str(call.rank)))
+    if choice.chain:
+        headers.append((names.CHAIN, _chain(choice.chain)))
     if expect_version:
         headers.append((names.EXPECT_VERSION, str(expect_version)))
     return headers
@@ -51,6 +55,7 @@
         signed=names.SEAL in headers,
         not_run=names.NOT_RUN in headers or head.status == 421,
         load=_load(headers.get(names.LOAD, '')),
+        at_fault=headers.get(names.AT_FAULT, ''),
     )
 
 
@@ -59,6 +64,12 @@
     return headers.get(names.ATTEMPT_ID, call.call_id) == call.call_id
 
 
+def _chain(stops: Sequence[placement.Stop]) -> str:
+    return ','.join(
+        f'{stop.backend.record.address}={stop.first}-{stop.end}' for stop in stops
+    )
+
+
 def _load(text: str) -> int | None:
     """Return the running and waiting requests, or None when they are not told."""
     parts = text.split(',')
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from primrosesaddle.core import rendezvous
+from primrosesaddle.core import layers, rendezvous
 from primrosesaddle.fleet import mesh, view
 from primrosesaddle.membership import peers, wire
 from primrosesaddle.staging import depot, pieces
@@ -52,7 +52,9 @@
         for service, goal in self._goals():
             if service == peer.card.serves:
                 place = self._place(service, goal, peer.card.name)
-                peer.channel.send(msgspec.structs.replace(goal, place=place))
+                part = self._part(service, peer.card.server)
+                told = msgspec.structs.replace(goal, place=place, part=part)
+                peer.channel.send(told)
 
     def tell_all(self) -> None:
         """Tell every agent."""
@@ -80,6 +82,19 @@
         ordered = rendezvous.order(mark, [peer.card.name for peer in agents])
         return ordered.index(name) / len(ordered) if name in ordered else 0.0
 
+    def _part(self, service: str, address: str) -> int:
+        """Return the part that a server loads first, so that neighbours differ."""
+        known = self._view.servers.values()
+        places = {rec.data_centre for rec in known if rec.address == address}
+        fellows = sorted(
+            {
+                rec.address
+                for rec in known
+                if rec.service == service and rec.data_centre in places
+            }
+        )
+        return fellows.index(address) % layers.PARTS if address in fellows else 0
+
     def _goals(self) -> list[tuple[str, wire.Goal]]:
         conf = self._view.configuration
         if conf is None or conf.origin is None:
@@ -87,7 +102,8 @@
         ages_s = self._view.named_ages()
         goals = []
         for service in conf.services.values():
-            for model in service.engine.models if service.engine else ():
+            engine = service.engine
+            for model in engine.models if engine else ():
                 version = max(FIRST_VERSION, self._view.newest(model))
                 goal = wire.Goal(
                     model,
@@ -95,6 +111,7 @@
                     ages_s.get(f'{model}@{version}', 0.0),
                     conf.origin.address,
                     self.origin_region(),
+                    layer_count=engine.layer_count if engine else 0,
                 )
                 goals.append((service.name, goal))
         return goals
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -12,7 +12,7 @@
 import typing
 from collections.abc import Callable, Iterator, Sequence
 
-from primrosesaddle.core import backoff, rendezvous
+from primrosesaddle.core import backoff, layers, rendezvous
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import pieces
@@ -118,7 +118,7 @@
         """Read the pieces of which this process is the home, a few at once."""
         await asyncio.sleep(SETTLE_S)
         digests = await self.digests(version)
-        indexes = iter(range(len(digests.pieces)))
+        indexes = iter(_in_turn(len(digests.pieces)))
         workers = [self._prefetch_some(version, indexes) for _ in range(AHEAD)]
         await asyncio.gather(*workers)
         held = len(self._held.get(version, {}))
@@ -159,7 +159,7 @@
     async def _wanted(self, version: pieces.Version, index: int) -> bytes:
         digests = await self.digests(version)
         if index == MANIFEST:
-            return '\n'.join(digests.pieces).encode()
+            return '\n'.join((str(digests.layer_count), *digests.pieces)).encode()
         if not 0 <= index < len(digests.pieces):
             return b''
         return await self.piece(version, index)
@@ -232,7 +232,8 @@
             if body:
                 self.peer_bytes += len(body)
                 if index == MANIFEST:
-                    self._keep(version, body.decode().split('\n'))
+                    layer_count, *found = body.decode().split('\n')
+                    self._keep(version, found, int(layer_count))
                 return body
         return b''
 
@@ -267,14 +268,16 @@
             raise call.CallFailed('no origin is known')
         if index == MANIFEST:
             found = await origin.digests(version)
-            self._keep(version, found.pieces)
+            self._keep(version, found.pieces, found.layer_count)
             return b'read'
         body = await origin.piece(version, index)
         self.origin_bytes += len(body)
         return body
 
-    def _keep(self, version: pieces.Version, found: Sequence[str]) -> None:
-        self._digests[version] = pieces.Digests(version, tuple(found))
+    def _keep(
+        self, version: pieces.Version, found: Sequence[str], layer_count: int
+    ) -> None:
+        self._digests[version] = pieces.Digests(version, tuple(found), layer_count)
         self._held.setdefault(version, {})
         while len(self._held) > KEPT_VERSIONS:
             oldest = min(self._held, key=lambda held: held.number)
@@ -309,6 +312,12 @@
         return [by_name[name] for name in ordered]
 
 
+def _in_turn(count: int) -> list[int]:
+    """Return indexes so that the parts of the layers progress alike."""
+    stride = -(-count // layers.PARTS) or 1
+    return sorted(range(count), key=lambda index: (index % stride, index))
+
+
 async def _ask(channel: link.Channel, ask: wire.Want) -> bytes:
     body = await channel.request(ask, PEER_TIMEOUT_S)
     return body.body if isinstance(body, wire.Chunk) and body.found else b''
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 
+from primrosesaddle.core import layers
 from primrosesaddle.staging import depot, pieces
 from primrosesaddle.telemetry import journal
 
@@ -15,21 +16,23 @@
 # newer one is held up, and delays it by no more than the newer has until its bound.
 FINISH_SHARE = 0.3
 POLL_S = 0.05
+PASSED_BY = 8  # pieces that are tried before one that was not there
 PASS_S = 0.01  # before another piece is tried in place of one that is not there
 
 
 class _Fetch:
     """The fetch of one version."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, span: layers.Span) -> None:
         self.moved_at = now
+        self.span = span
         self.total = 0
-        self.done = 0
+        self.held: set[int] = set()
         self.task: asyncio.Task[None] | None = None
 
     @property
     def whole(self) -> bool:
-        return self.total > 0 and self.done == self.total
+        return self.total > 0 and len(self.held) == self.total
 
 
 class Fetches:
@@ -41,11 +44,11 @@
         self._clock = clock
         self._fetches: dict[pieces.Version, _Fetch] = {}
 
-    def want(self, version: pieces.Version) -> None:
-        """Begin to fetch a version, unless that is under way or done."""
+    def want(self, version: pieces.Version, first: layers.Span) -> None:
+        """Begin to fetch a version, some layers first, unless that has begun."""
         if version in self._fetches:
             return
-        begun = _Fetch(self._clock())
+        begun = _Fetch(self._clock(), first)
         self._fetches[version] = begun
         begun.task = asyncio.create_task(self._run(version, begun))
 
@@ -57,7 +60,17 @@
     def share(self, version: pieces.Version) -> float:
         """Return the share of a version's pieces that is held."""
         found = self._fetches.get(version)
-        return found.done / found.total if found is not None and found.total else 0.0
+        if found is None or not found.total:
+            return 0.0
+        return len(found.held) / found.total
+
+    async def holds(self, version: pieces.Version, span: layers.Span) -> bool:
+        """Tell whether every piece of some layers is held."""
+        found = self._fetches.get(version)
+        if found is None or not found.total:
+            return False
+        digests = await self._source.digests(version)
+        return found.held.issuperset(pieces.indexes_of(digests, span))
 
     def drop_before(self, version: pieces.Version) -> None:
         """Forget the versions of a model that are older than one."""
@@ -73,16 +86,17 @@
         digests = await self._source.digests(version)
         begun.total = len(digests.pieces)
         missing = collections.deque(range(begun.total))
+        missing.rotate(-pieces.indexes_of(digests, begun.span).start)
         while missing:
             while self._newer_moves(version) or self._older_ends(version):
                 await asyncio.sleep(POLL_S)
             index = missing.popleft()
             if await self._source.try_piece(version, index) is None:
                 # The entries do not hold it yet; another one may be there.
-                missing.append(index)
+                missing.insert(PASSED_BY, index)
                 await asyncio.sleep(PASS_S)
                 continue
-            begun.done += 1
+            begun.held.add(index)
             begun.moved_at = self._clock()
         took_s = round(self._clock() - began, 3)
         journal.info('version.fetched', version=version.mark, took_s=took_s)
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -5,6 +5,7 @@
 import typing
 from collections.abc import Callable
 
+from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import depot, fetches, pieces
@@ -25,9 +26,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineState:
-    """An engine's own report; `models` holds what is loaded whole."""
+    """An engine's own report; `models` holds the layers that are loaded."""
 
-    models: dict[str, int]
+    models: dict[str, layers.Span]
     busy: bool
     active: int
     queued: int
@@ -49,23 +50,58 @@
     async def write_piece(self, model: str, index: int, body: bytes) -> None:
         """Stage a piece."""
 
-    async def load(self, version: pieces.Version) -> bool:
-        """Order the staged version loaded, and return whether it was accepted."""
+    async def load(self, model: str, span: layers.Span) -> bool:
+        """Order that these layers be held, and return whether that was accepted."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Goal:
     """The version to hold; `named_at` is of this process's clock.
 
-    `place` is this server's, from 0 to 1, in the order in which servers switch.
+    `place` is this server's, from 0 to 1, in the order in which servers switch;
+    `part` is the part of the layers that it loads first while it holds none.
     """
 
     version: pieces.Version
     named_at: float
     place: float = 0.0
+    layer_count: int = 0
+    part: int = 0
+
+    @property
+    def all_layers(self) -> layers.Span:
+        """Return the span of all layers, whose number may not be known."""
+        return layers.Span(0, max(1, self.layer_count), self.version.number)
+
+    @property
+    def parts(self) -> tuple[layers.Span, ...]:
+        """Return the parts of the layers, the one to load first leading."""
+        found = layers.parts(self.all_layers.end, self.version.number)
+        first = self.part % len(found)
+        return found[first:] + found[:first]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Order:
+    """An order that was sent; `alongside` when the engine serves on meanwhile."""
+
+    version: pieces.Version
+    span: layers.Span
+    at: float
+    alongside: bool
+
+
+@dataclasses.dataclass
+class _Staging:
+    """What was written to the engine's staging area, and when that ended."""
+
+    version: pieces.Version | None = None
+    indexes: set[int] = dataclasses.field(default_factory=set)
+    ended_at: float = 0.0
 
 
 Tell = Callable[[wire.ServerState], None]
+_Held = layers.Span | None
 
 
 class Keeper:
@@ -87,12 +123,10 @@
         self._tell = tell
         self._clock = clock
         self._goals: list[Goal] = []
-        self._staged: pieces.Version | None = None
-        self._staged_at = 0.0
+        self._staging = _Staging()
         self._state: EngineState | None = None
         self._failed_looks = 0
-        self._switching: pieces.Version | None = None
-        self._ordered_at = 0.0
+        self._order: _Order | None = None
         self._told: wire.ServerState | None = None
         self._told_at = 0.0
 
@@ -142,30 +176,38 @@
 
     def _forget_engine(self) -> None:
         self._state = None
-        self._staged = None
-        self._switching = None
+        self._staging = _Staging()
+        self._order = None
 
     async def _advance(self) -> None:
         if not self._goals:
             return
         newest = self._goals[-1]
         state = self._state
-        loaded = state.models.get(newest.version.model, 0) if state else 0
-        self._note_loaded(loaded)
+        held = state.models.get(newest.version.model) if state else None
+        self._note_loaded(held)
+        loaded = layers.whole_version(held, newest.layer_count)
         if loaded == newest.version.number:
             return
         for goal in self._goals:
             if goal.version.number > loaded:
-                self._fetches.want(goal.version)
-        chosen = self._next_goal(loaded)
-        if state is None or chosen is None or state.busy:
+                self._fetches.want(goal.version, newest.parts[0])
+        if state is None or state.busy:
             return
         try:
-            await self._bring(chosen, loaded)
+            await self._bring_next(newest, loaded, held)
         except call.CallFailed as exc:
-            self._staged = None
+            self._staging = _Staging()
             journal.warning('engine.call_failed', error=str(exc))
 
+    async def _bring_next(self, newest: Goal, loaded: int, held: _Held) -> None:
+        """Bring about what is fetched: a whole version, or parts to begin with."""
+        chosen = self._next_goal(loaded)
+        if chosen is not None:
+            await self._bring(chosen, loaded, held)
+        elif held is None:
+            await self._bring_part(newest)
+
     def _next_goal(self, loaded: int) -> Goal | None:
         """Return the newest goal that is fetched, unless a newer one nearly is."""
         for goal in reversed(self._goals):
@@ -177,78 +219,103 @@
                 return None
         return None
 
-    async def _bring(self, goal: Goal, loaded: int) -> None:
-        wanted = goal.version
-        if self._staged != wanted:
-            await self._stage(wanted)
-        if self._switching == wanted and not self._order_failed():
-            return
+    async def _bring(self, goal: Goal, loaded: int, held: _Held) -> None:
+        """Load a version that is fetched whole, in turn if another one serves."""
+        await self._stage(goal.version, goal.all_layers)
         if loaded and self._clock() < self._turn(goal):
             return
-        await self._switch(goal)
-
-    def _order_failed(self) -> bool:
-        """Tell whether an order that was sent shows no effect."""
-        return self._clock() - self._ordered_at > ORDER_RETRY_S
+        await self._load(goal, goal.all_layers, held)
+
+    async def _bring_part(self, goal: Goal) -> None:
+        """Load the first part that is fetched, and serve with it before the rest."""
+        for span in goal.parts:
+            if await self._fetches.holds(goal.version, span):
+                await self._stage(goal.version, span)
+                await self._load(goal, span, None)
+                return
 
     def _turn(self, goal: Goal) -> float:
         """Return when this server may switch, in its turn before the bound."""
         last = goal.named_at + self._bound_s - LAST_TURN_MARGIN_S
-        spread_s = max(0.0, last - self._staged_at)
-        return self._staged_at + spread_s * goal.place
+        spread_s = max(0.0, last - self._staging.ended_at)
+        return self._staging.ended_at + spread_s * goal.place
 
-    async def _switch(self, goal: Goal) -> None:
+    async def _load(self, goal: Goal, span: layers.Span, held: _Held) -> None:
         wanted = goal.version
-        if not await self._verify(wanted):
-            self._staged = None
+        order = self._order
+        if order is not None and (order.version, order.span) == (wanted, span):
+            if self._clock() - order.at <= ORDER_RETRY_S:
+                return
+        if not await self._verify(wanted, span):
             return
-        self._switching = wanted
+        alongside = held is not None and held.version == wanted.number
+        self._order = _Order(wanted, span, self._clock(), alongside)
         self._report()
-        self._ordered_at = self._clock()
         try:
-            accepted = await self._engine.load(wanted)
+            accepted = await self._engine.load(wanted.model, span)
         except call.CallFailed as exc:
             # The order may have been taken; the next report tells.
             journal.warning('order.unanswered', version=wanted.mark, error=str(exc))
             return
-        age_s = round(self._clock() - goal.named_at, 3)
-        journal.info('order.sent', version=wanted.mark, accepted=accepted, age_s=age_s)
+        journal.info(
+            'order.sent',
+            version=wanted.mark,
+            first=span.first,
+            end=span.end,
+            accepted=accepted,
+            age_s=round(self._clock() - goal.named_at, 3),
+        )
         if not accepted:
-            self._switching = None
+            self._order = None
 
-    def _note_loaded(self, loaded: int) -> None:
-        """Note that the version under way is loaded."""
-        wanted = self._switching
-        if wanted is None or loaded != wanted.number:
+    def _note_loaded(self, held: _Held) -> None:
+        """Note that the layers under way are loaded."""
+        order = self._order
+        if order is None or not layers.covers(held, order.span):
             return
-        took_s = round(self._clock() - self._ordered_at, 3)
-        journal.info('version.loaded', version=wanted.mark, took_s=took_s)
-        self._switching = None
-        self._fetches.drop_before(wanted)
-
-    async def _stage(self, wanted: pieces.Version) -> None:
-        """Write every piece to the engine's staging area.
+        journal.info(
+            'version.loaded',
+            version=order.version.mark,
+            first=order.span.first,
+            end=order.span.end,
+            took_s=round(self._clock() - order.at, 3),
+        )
+        self._order = None
+        self._fetches.drop_before(order.version)
+
+    async def _stage(self, wanted: pieces.Version, span: layers.Span) -> None:
+        """Write the pieces of some layers to the engine's staging area.
 
         Raises `call.CallFailed`.
         """
+        staging = self._staging
+        if staging.version != wanted:
+            staging = self._staging = _Staging(wanted)
         digests = await self._source.digests(wanted)
-        for index, _ in enumerate(digests.pieces):
+        missing = [
+            index
+            for index in pieces.indexes_of(digests, span)
+            if index not in staging.indexes
+        ]
+        for index in missing:
             body = await self._source.piece(wanted, index)
             await self._engine.write_piece(wanted.model, index, body)
-        self._staged = wanted
-        self._staged_at = self._clock()
-        journal.info('version.staged', version=wanted.mark)
+            staging.indexes.add(index)
+        if missing:
+            staging.ended_at = self._clock()
+            journal.info('version.staged', version=wanted.mark, pieces=len(missing))
 
-    async def _verify(self, wanted: pieces.Version) -> bool:
-        """Read back every staged piece, and return whether all are sound.
+    async def _verify(self, wanted: pieces.Version, span: layers.Span) -> bool:
+        """Read back the staged pieces of some layers, and tell whether all are sound.
 
         Raises `call.CallFailed`.
         """
         digests = await self._source.digests(wanted)
-        for index, _ in enumerate(digests.pieces):
+        for index in pieces.indexes_of(digests, span):
             body = await self._engine.read_piece(wanted.model, index)
             if body is None or not pieces.is_piece(digests, index, body):
                 journal.warning('staged.spoilt', version=wanted.mark, index=index)
+                self._staging = _Staging()
                 return False
         return True
 
@@ -264,7 +331,7 @@
                 state.active,
                 state.queued,
                 state.models,
-                self._switching is not None,
+                self._order is not None and not self._order.alongside,
                 state.pace,
             )
         now = self._clock()
@@ -279,4 +346,5 @@
     version: pieces.Version, told: wire.Goal, clock: Callable[[], float]
 ) -> Goal:
     """Return the goal that an entry told."""
-    return Goal(version, clock() - told.age_s, told.place)
+    named_at = clock() - told.age_s
+    return Goal(version, named_at, told.place, told.layer_count, told.part)
--- a/src/primrosesaddle/staging/pieces.py
+++ b/src/primrosesaddle/staging/pieces.py
@@ -3,7 +3,9 @@
 import dataclasses
 import hashlib
 
-__all__ = ('Digests', 'Version', 'is_piece')
+from primrosesaddle.core import layers
+
+__all__ = ('Digests', 'Version', 'indexes_of', 'is_piece', 'parse_mark')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,10 +23,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digests:
-    """The SHA-256 digests of a version's pieces, in hexadecimal."""
+    """The SHA-256 digests of a version's pieces, in hexadecimal.
+
+    `layer_count` is how many layers the pieces make up, 0 when that is not told.
+    """
 
     version: Version
     pieces: tuple[str, ...]
+    layer_count: int = 0
 
 
 def is_piece(digests: Digests, index: int, body: bytes) -> bool:
@@ -32,6 +38,16 @@
     return hashlib.sha256(body).hexdigest() == digests.pieces[index]
 
 
+def indexes_of(digests: Digests, span: layers.Span) -> range:
+    """Return the indexes of the pieces that some layers are made of."""
+    count = len(digests.pieces)
+    if not digests.layer_count:
+        return range(count)
+    first = span.first * count // digests.layer_count
+    end = -(-span.end * count // digests.layer_count)
+    return range(first, min(count, end))
+
+
 def parse_mark(mark: str) -> Version | None:
     """Return the version that a mark names, or None."""
     model, _, number = mark.rpartition('@')
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -7,11 +7,13 @@
 import pytest
 from testtools import assertions, matchers
 
+from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import depot, fetches, keeper, pieces
 
 PIECES = 8
+LAYERS = 4
 MODEL = 'm1'
 
 
@@ -23,7 +25,11 @@
     found = [
         hashlib.sha256(_body(version, index)).hexdigest() for index in range(PIECES)
     ]
-    return pieces.Digests(version, tuple(found))
+    return pieces.Digests(version, tuple(found), LAYERS)
+
+
+def _whole(number):
+    return layers.Span(0, LAYERS, number)
 
 
 class FakeOrigin:
@@ -40,7 +46,7 @@
         self._check()
         if self.spoilt_digests:
             self.spoilt_digests -= 1
-            return pieces.Digests(version, ('00',) * PIECES)
+            return pieces.Digests(version, ('00',) * PIECES, LAYERS)
         return _digests(version)
 
     async def piece(self, version, index):
@@ -63,10 +69,11 @@
     address = '127.0.0.1:1'
 
     def __init__(self, loaded=0):
-        self.models = {MODEL: loaded} if loaded else {}
+        self.models = {MODEL: _whole(loaded)} if loaded else {}
         self.staged = {}
         self.rots = set()
         self.orders = []
+        self.spans = []
         self.born_ms = 1
         self.away = False
 
@@ -82,11 +89,14 @@
         self.staged[index] = b'rotten' if index in self.rots else body
         self.rots.discard(index)
 
-    async def load(self, version):
-        staged = [self.staged.get(index) for index in range(PIECES)]
-        expected = [_body(version, index) for index in range(PIECES)]
-        self.orders.append((version.number, staged == expected))
-        self.models = {MODEL: version.number}
+    async def load(self, model, span):
+        version = pieces.Version(model, span.version)
+        indexes = pieces.indexes_of(_digests(version), span)
+        staged = [self.staged.get(index) for index in indexes]
+        expected = [_body(version, index) for index in indexes]
+        self.orders.append((span.version, staged == expected))
+        self.spans.append((span.first, span.end))
+        self.models = {MODEL: span}
         return True
 
     def restart(self):
@@ -124,8 +134,8 @@
     return run
 
 
-def _goal(number, age_s=0.0, place=0.0):
-    told = wire.Goal(MODEL, number, age_s, 'origin', 'region-1', place)
+def _goal(number, age_s=0.0, place=0.0, part=0):
+    told = wire.Goal(MODEL, number, age_s, 'origin', 'region-1', place, LAYERS, part)
     clock = asyncio.get_running_loop().time
     return keeper.make_goal(pieces.Version(MODEL, number), told, clock)
 
@@ -147,7 +157,7 @@
         kept.aim(_goal(1))
         await _until(lambda: engine.orders)
         _same(engine.orders, [(1, True)])
-        await _until(lambda: told and told[-1].models == {MODEL: 1})
+        await _until(lambda: told and told[-1].models == {MODEL: _whole(1)})
 
     in_keeper(check, engine, FakeOrigin())
 
@@ -188,7 +198,7 @@
     async def check(kept, told):
         kept.aim(_goal(1))
         await _until(lambda: engine.orders)
-        await _until(lambda: told and told[-1].models == {MODEL: 1})
+        await _until(lambda: told and told[-1].models == {MODEL: _whole(1)})
         origin.away = True
         engine.restart()
         await _until(lambda: len(engine.orders) == 2)
@@ -207,7 +217,7 @@
         kept.aim(_goal(2))
         await asyncio.sleep(0.03)
         kept.aim(_goal(3))
-        await _until(lambda: engine.models == {MODEL: 3})
+        await _until(lambda: engine.models == {MODEL: _whole(3)})
         assert all(sound for _, sound in engine.orders)
 
     in_keeper(check, engine, origin)
@@ -223,10 +233,10 @@
         await _until(lambda: len(origin.reads) >= PIECES)
         origin.away = True
         kept.aim(_goal(3))
-        await _until(lambda: told and told[-1].models == {MODEL: 2})
+        await _until(lambda: told and told[-1].models == {MODEL: _whole(2)})
         _same(told[-1].switching, False)
         origin.away = False
-        await _until(lambda: engine.models == {MODEL: 3})
+        await _until(lambda: engine.models == {MODEL: _whole(3)})
 
     in_keeper(check, engine, origin)
 
@@ -323,9 +333,59 @@
         origin.piece = piece
         clock = asyncio.get_running_loop().time
         fetched = fetches.Fetches(made, clock)
-        fetched.want(version)
+        fetched.want(version, layers.Span(0, LAYERS, 1))
         while not fetched.is_whole(version):
             await asyncio.sleep(0.01)
         _same(origin.reads[-1], (1, 0))
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ('part', 'spans'), [(0, [(0, 2), (0, 4)]), (1, [(2, 4), (0, 4)])]
+)
+def test_empty_engine_serves_with_a_part_first(in_keeper, part, spans):
+    """The part that is this server's is loaded while the rest is on its way."""
+    engine = FakeEngine()
+    origin = FakeOrigin()
+    origin.delay_s = 0.1
+
+    async def check(kept, told):
+        kept.aim(_goal(1, part=part))
+        await _until(lambda: engine.spans)
+        assert len(origin.reads) < PIECES
+        await _until(lambda: len(engine.spans) == 2)
+        _same(engine.spans, spans)
+        assert all(sound for _, sound in engine.orders)
+        assert not any(state.switching for state in told[-2:])
+
+    in_keeper(check, engine, origin)
+
+
+def test_engine_that_serves_an_older_version_gets_no_part(in_keeper):
+    """A server that serves switches once, to the whole of the newer version."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+    origin.delay_s = 0.05
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        await _until(lambda: engine.spans)
+        _same(engine.spans, [(0, LAYERS)])
+
+    in_keeper(check, engine, origin)
+
+
+def test_rotten_piece_of_a_part_is_staged_again(in_keeper):
+    """No part is ordered while one of its staged pieces is spoilt."""
+    engine = FakeEngine()
+    engine.rots = {1, 6}
+    origin = FakeOrigin()
+    origin.delay_s = 0.05
+
+    async def check(kept, told):
+        kept.aim(_goal(1))
+        await _until(lambda: len(engine.spans) == 2)
+        _same(engine.orders, [(1, True), (1, True)])
+
+    in_keeper(check, engine, origin)
