--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -38,7 +38,9 @@
         sources = depot.Sources(
             self._homes, self._lonely_origin, lambda: self._origin_region
         )
-        store = depot.Depot(cfg.name, cfg.region, sources, rand)
+        store = depot.Depot(
+            cfg.name, cfg.region, sources, rand, depot.AGENT_BLOCKS_AHEAD
+        )
         self._keeper: keeper.Keeper | None = None
         if cfg.server is not None:
             self._keeper = keeper.Keeper(
@@ -46,6 +48,7 @@
                 store,
                 cfg.bounds.version_s,
                 self._tell,
+                lambda: len(self._mesh.mates.alive('entry')),
                 self._clock,
             )
         self._mesh.board.on(wire.Goal, self._take_goal)
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -33,9 +33,11 @@
 LOGGED_FAILURES = 20  # of reads, of which one is logged
 MANIFEST = -1
 # Blocks on their way delay calls on the same link: two of these take 26 ms at the
-# 3.8 Mbit/s of an agent's machine, and two are enough to keep the link busy.
+# 3.8 Mbit/s of an agent's machine, and two are enough to keep the link busy. An
+# agent reads two pieces at once, and one block of each.
 BLOCK_BYTES = 6 * 1024
 BLOCKS_AHEAD = 2
+AGENT_BLOCKS_AHEAD = 1
 
 
 class Origin(typing.Protocol):
@@ -68,9 +70,15 @@
     """Read pieces once, check them, keep them and pass them on."""
 
     def __init__(
-        self, name: str, region: str, sources: Sources, rand: random.Random
+        self,
+        name: str,
+        region: str,
+        sources: Sources,
+        rand: random.Random,
+        blocks_ahead: int = BLOCKS_AHEAD,
     ) -> None:
         """Create the empty depot of a process; an agent is no home of any piece."""
+        self._blocks_ahead = blocks_ahead
         self._name = name
         self._region = region
         self._sources = sources
@@ -252,7 +260,7 @@
         begin = 0
         try:
             while not found or len(found[-1]) == BLOCK_BYTES:
-                while len(ahead) < BLOCKS_AHEAD:
+                while len(ahead) < self._blocks_ahead:
                     ask = wire.Want(version.mark, index, begin, begin + BLOCK_BYTES)
                     ahead.append(asyncio.create_task(_ask(channel, ask)))
                     begin += BLOCK_BYTES
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -16,6 +16,7 @@
 # newer one is held up, and delays it by no more than the newer has until its bound.
 FINISH_SHARE = 0.3
 POLL_S = 0.05
+READERS = 2  # of pieces at once, so that the link is busy between two
 PASSED_BY = 8  # pieces that are tried before one that was not there
 PASS_S = 0.01  # before another piece is tried in place of one that is not there
 
@@ -87,9 +88,19 @@
         begun.total = len(digests.pieces)
         missing = collections.deque(range(begun.total))
         missing.rotate(-pieces.indexes_of(digests, begun.span).start)
+        readers = [self._read_some(version, begun, missing) for _ in range(READERS)]
+        await asyncio.gather(*readers)
+        took_s = round(self._clock() - began, 3)
+        journal.info('version.fetched', version=version.mark, took_s=took_s)
+
+    async def _read_some(
+        self, version: pieces.Version, begun: _Fetch, missing: collections.deque[int]
+    ) -> None:
         while missing:
             while self._newer_moves(version) or self._older_ends(version):
                 await asyncio.sleep(POLL_S)
+            if not missing:
+                return
             index = missing.popleft()
             if await self._source.try_piece(version, index) is None:
                 # The entries do not hold it yet; another one may be there.
@@ -98,8 +109,6 @@
                 continue
             begun.held.add(index)
             begun.moved_at = self._clock()
-        took_s = round(self._clock() - began, 3)
-        journal.info('version.fetched', version=version.mark, took_s=took_s)
 
     def _newer_moves(self, version: pieces.Version) -> bool:
         """Tell whether a fetch stands back for one of a newer version."""
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -5,6 +5,8 @@
 import typing
 from collections.abc import Callable
 
+import msgspec
+
 from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
@@ -19,7 +21,11 @@
 LAST_TURN_MARGIN_S = 0.8
 ORDER_RETRY_S = 0.3  # an order that began shows in the report by then
 UNREACHABLE_LOOKS = 2  # failed reports in a row before a server counts as gone
-TELL_S = 0.2  # between reports to entries when only the load changed
+TELL_S = 0.2  # between reports to entries when nothing changed
+# Reports of load alone that an agent sends a second, to all entries together. More
+# took a third of its processor time with 14 entries.
+REPORTS_PER_S = 40
+TELL_CEILING_S = 0.35  # entries take a report for stale after 0.8 s
 NEARLY_WHOLE = 0.8  # share of the newest version from which an older is passed over
 KEPT_GOALS = 3
 
@@ -113,14 +119,20 @@
         source: depot.Depot,
         bound_s: float,
         tell: Tell,
+        audience: Callable[[], int],
         clock: Callable[[], float],
     ) -> None:
-        """Create a keeper; `bound_s` is the age at which a version is required."""
+        """Create a keeper.
+
+        `bound_s` is the age at which a version is required, `audience` the number
+        of entries that `tell` reaches.
+        """
         self._engine = engine
         self._source = source
         self._fetches = fetches.Fetches(source, clock)
         self._bound_s = bound_s
         self._tell = tell
+        self._audience = audience
         self._clock = clock
         self._goals: list[Goal] = []
         self._staging = _Staging()
@@ -154,7 +166,7 @@
             await self._look()
             await self._advance()
             self._report()
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(max(LOOK_S, self._pause_s() / 2))
 
     async def _look(self) -> None:
         try:
@@ -335,12 +347,23 @@
                 state.pace,
             )
         now = self._clock()
-        if told == self._told and now - self._told_at < TELL_S:
-            return
+        if self._told is not None and _state_of(told) == _state_of(self._told):
+            least_s = TELL_S if told == self._told else self._pause_s()
+            if now - self._told_at < max(least_s, self._pause_s()):
+                return
         self._told = told
         self._told_at = now
         self._tell(told)
 
+    def _pause_s(self) -> float:
+        """Return the time between reports of load alone."""
+        return min(TELL_CEILING_S, self._audience() / REPORTS_PER_S)
+
+
+def _state_of(told: wire.ServerState) -> wire.ServerState:
+    """Return a report without the load, which changes all the time."""
+    return msgspec.structs.replace(told, active=0, queued=0, pace=1.0)
+
 
 def make_goal(
     version: pieces.Version, told: wire.Goal, clock: Callable[[], float]
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -118,11 +118,17 @@
 def in_keeper():
     """Return a function that runs a check with a keeper beside an engine."""
 
-    def run(check, engine, origin, bound_s=1.0):
+    def run(check, engine, origin, bound_s=1.0, audience=1, clock=None):
         async def main():
-            clock = asyncio.get_running_loop().time
             told = []
-            kept = keeper.Keeper(engine, _depot(origin), bound_s, told.append, clock)
+            kept = keeper.Keeper(
+                engine,
+                _depot(origin),
+                bound_s,
+                told.append,
+                lambda: audience,
+                clock or asyncio.get_running_loop().time,
+            )
             task = asyncio.create_task(kept.run())
             try:
                 await asyncio.wait_for(check(kept, told), 20)
@@ -348,7 +354,7 @@
     """The part that is this server's is loaded while the rest is on its way."""
     engine = FakeEngine()
     origin = FakeOrigin()
-    origin.delay_s = 0.1
+    origin.delay_s = 0.3
 
     async def check(kept, told):
         kept.aim(_goal(1, part=part))
@@ -381,7 +387,7 @@
     engine = FakeEngine()
     engine.rots = {1, 6}
     origin = FakeOrigin()
-    origin.delay_s = 0.05
+    origin.delay_s = 0.3
 
     async def check(kept, told):
         kept.aim(_goal(1))
@@ -389,3 +395,28 @@
         _same(engine.orders, [(1, True), (1, True)])
 
     in_keeper(check, engine, origin)
+
+
+def test_load_is_reported_more_rarely_than_state(in_keeper):
+    """While the time of a report has not come, only a change of state is told."""
+    engine = FakeEngine(loaded=1)
+    now = [100.0]
+    loads = iter(range(1, 10_000))
+
+    async def report():
+        return keeper.EngineState(dict(engine.models), False, next(loads), 0, 1.0, 1)
+
+    engine.report = report
+
+    async def check(kept, told):
+        await _until(lambda: told)
+        before = next(loads)
+        await _until(lambda: next(loads) > before + 10)
+        _same(len(told), 1)
+        engine.models = {}
+        await _until(lambda: len(told) == 2)
+        _same(told[-1].models, {})
+        now[0] += 2 * keeper.TELL_CEILING_S
+        await _until(lambda: len(told) == 3)
+
+    in_keeper(check, engine, FakeOrigin(), audience=200, clock=lambda: now[0])
