Let calls that came back wait for servers that are being filled

Cause: while every server is empty, a call that came back was held for 0.6 s and refused again, though a server that could take it was two seconds away; and a first refusal named a third of the time left, however soon servers were filled.

Agents tell when their empty server holds its first part; right after a start the entry takes the time of a part over an agent's link. Entries read pieces in turn, so that what agents want opens no more reads at the origin at once.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -15,6 +15,7 @@
 # A call that came back after a refusal is late anyhow; it waits this long behind
 # the others.
 LATE_HOLD_S = 0.6
+FINISH_S = 1.3  # for a usual answer, once a call that waited has its place
 LEAST_HOLD_S = 0.03  # a call waits at least this long; it is no loss of time
 RESUME_HOLD_S = 1.5  # a broken stream waits; callers give up after two seconds
 # A caller that comes back sooner meets the same overload, and it waits no more than
@@ -105,7 +106,7 @@
         if hold_s <= 0 or expected_s > hold_s:
             ahead = queue.ahead_of(_queue_rank(call))
             reason = f'no_place: ahead={ahead} rate={rate:.0f} may_hold_s={hold_s:.2f}'
-            raise self._refusal(queue, call, reason)
+            raise self._refusal(call, service, reason)
         return await self._wait(queue, call, service, now + hold_s)
 
     def release(self, call: request.Call, choice: placement.Choice) -> None:
@@ -174,7 +175,9 @@
             for waiter in [found for found in waiting if now >= found.until]:
                 waiting.remove(waiter)
                 if not waiter.fut.done():
-                    refusal = self._refusal(queue, waiter.call, 'no_place: held')
+                    refusal = self._refusal(
+                        waiter.call, waiter.service, 'no_place: held'
+                    )
                     waiter.fut.set_exception(refusal)
 
     def _choose(
@@ -212,14 +215,28 @@
         on_time_s = call.on_time_until - now - max(usual_s, start_s)
         if on_time_s > 0:
             return max(on_time_s, LEAST_HOLD_S)
-        return min(LATE_HOLD_S, left_s / 4) if call.spent_s else LEAST_HOLD_S
+        if not call.spent_s:
+            return LEAST_HOLD_S
+        filled_s = self._filled_in_s(call, service)
+        if filled_s is None:
+            return min(LATE_HOLD_S, left_s / 4)
+        return min(filled_s + LATE_HOLD_S, left_s - FINISH_S)
+
+    def _filled_in_s(self, call: request.Call, service: routes.Service) -> float | None:
+        """Return when servers that are being filled will serve, or None."""
+        required = self._required(call.model)
+        return self._placer.filled_in_s(call, service, required)
 
     def _refusal(
-        self, queue: _Queue, call: request.Call, reason: str
+        self, call: request.Call, service: routes.Service, reason: str
     ) -> verdict.Refusal:
+        """Return a refusal that tells when a place may be free."""
         left_s = call.final_at - self._clock()
-        retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, left_s / 3))
-        return verdict.not_run(reason, 503, round(retry_s, 2))
+        retry_s = min(MOST_RETRY_S, left_s / 3)
+        filled_s = self._filled_in_s(call, service)
+        if filled_s is not None:
+            retry_s = min(retry_s, filled_s)
+        return verdict.not_run(reason, 503, round(max(LEAST_RETRY_S, retry_s), 2))
 
 
 def _queue_rank(call: request.Call) -> int:
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -33,6 +33,7 @@
     pace: float = 1.0
     reachable: bool = True
     born_ms: int = 0
+    ready_in_s: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +83,13 @@
             return self.record.models.get(model)
         return None if report.switching else report.models.get(model)
 
+    def ready_in_s(self, now: float) -> float | None:
+        """Return when an empty server will hold layers, or None if that is not told."""
+        report = self.fresh_report(now)
+        if report is None or not report.ready_in_s:
+            return None
+        return max(0.0, report.ready_in_s - (now - report.at))
+
     def hear(self, report: Report) -> None:
         """Take the agent's report."""
         self.report = report
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -36,6 +36,7 @@
     end: int
 
 
+FillTime = Callable[[routes.Service], float | None]
 _Holder = tuple[backends.Backend, layers.Span]
 
 
@@ -71,8 +72,10 @@
         regions: Mapping[str, str],
         rand: random.Random,
         clock: Callable[[], float],
+        fill_s: FillTime,
     ) -> None:
         """Create a placer for an entry in a data centre."""
+        self._fill_s = fill_s
         self._table = table
         self._data_centre = data_centre
         self._regions = regions
@@ -105,6 +108,21 @@
             return self._choose_chain(call, service, required)
         return best
 
+    def filled_in_s(
+        self, call: request.Call, service: routes.Service, required: int
+    ) -> float | None:
+        """Return when half of the empty servers will serve, if nothing does now.
+
+        Until agents tell, it is as long as a part takes. Returns None when nothing is
+        known, or when there are servers to wait for.
+        """
+        if service.engine is None or self.usable(call, service, required):
+            return None
+        now = self._clock()
+        told = [backend.ready_in_s(now) for backend in self._table.of(service.name)]
+        found = sorted(left_s for left_s in told if left_s is not None)
+        return found[len(found) // 2] if found else self._fill_s(service)
+
     def usable(
         self, call: request.Call, service: routes.Service, required: int
     ) -> list[backends.Backend]:
--- a/src/primrosesaddle/membership/members.py
+++ b/src/primrosesaddle/membership/members.py
@@ -147,7 +147,9 @@
     @property
     def suspect_s(self) -> float:
         """Return the silence in seconds after which a peer gets no new work."""
-        return max(peers.SUSPECT_S, 3 * peers.heartbeat_interval_s(len(self.peers)))
+        # One side of a link sends its heartbeats, so half of the links are a peer's.
+        interval_s = peers.heartbeat_interval_s(len(self.peers) // 2)
+        return max(peers.SUSPECT_S, 3 * interval_s)
 
     def announce(self, *, leaving: bool) -> None:
         """Tell every peer at once, as on leaving or on a new revision."""
@@ -248,7 +250,7 @@
             self._dialler.dial_due(self._wanted(now), self._is_linked, now)
             if now >= next_beat:
                 self._beat_all(now)
-                interval = peers.heartbeat_interval_s(len(self.peers))
+                interval = peers.heartbeat_interval_s(len(self._dialler.channels))
                 next_beat = now + interval * self._rand.uniform(0.9, 1.1)
             self._expire(now)
             await asyncio.sleep(SCAN_S)
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -234,7 +234,10 @@
 
 
 class ServerState(msgspec.Struct, tag=24, array_like=True, frozen=True):
-    """What an agent sees of the server beside it, at an address."""
+    """What an agent sees of the server beside it, at an address.
+
+    `ready_in_s` is when an empty server is expected to hold layers, 0 if not known.
+    """
 
     address: str
     born_ms: int
@@ -244,6 +247,7 @@
     models: dict[str, layers.Span] = {}
     switching: bool = False
     pace: float = 1.0
+    ready_in_s: float = 0
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -13,8 +13,9 @@
     doorway,
     placement,
     relay,
+    routes,
 )
-from primrosesaddle.core import kernel, pause
+from primrosesaddle.core import kernel, layers, pause
 from primrosesaddle.fleet import mesh, node, reader, view
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
@@ -154,6 +155,16 @@
     def _required(self, model: str) -> int:
         return self._view.required(model, self.cfg.bounds.version_s - VERSION_MARGIN_S)
 
+    def _fill_s(self, service: routes.Service) -> float | None:
+        """Return how long the agents of a service take for a part of the weights."""
+        engine = service.engine
+        agents = self._mesh.mates.alive('agent', service.name)
+        rates = [peer.card.link_bytes_per_s for peer in agents]
+        if engine is None or not any(rates):
+            return None
+        part_bytes = engine.pieces * engine.piece_bytes / layers.PARTS
+        return part_bytes / max(rates) + engine.load_s
+
     def _make_queue(self) -> admission.Admission:
         placer = placement.Placer(
             self.table,
@@ -161,6 +172,7 @@
             self.cfg.regions,
             self._rand,
             self._clock,
+            self._fill_s,
         )
         return admission.Admission(placer, self._required, self._clock)
 
@@ -206,6 +218,7 @@
             body.pace,
             body.reachable,
             body.born_ms,
+            body.ready_in_s,
         )
         self.table.hear(body.address, report)
 
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -23,10 +23,11 @@
 KEPT_VERSIONS = 3  # the newest, the one before, and one that is being superseded
 PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
 RETRY_S = 0.1
-RETRY_CEILING_S = 0.6
+RETRY_CEILING_S = 0.15  # the other side has waited for as long already
 AHEAD = 3  # reads at once of each entry, enough to fill the origin's link
 SETTLE_S = 0.25  # after a start, until the other entries are known
 SERVE_WAIT_S = 0.15  # a piece that is not there by then is asked for again later
+TURN_S = 0.02  # between looks at whether a piece has come in its turn
 PASSED_OVER = 16  # times that a home lacks a piece until another source is asked
 BAD_PIECES = 4  # of one version, before its digests are read again
 _UNREAD = (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError)
@@ -90,6 +91,7 @@
         self._lacking: collections.Counter[tuple[pieces.Version, int]]
         self._lacking = collections.Counter()
         self._failures = 0
+        self._filling: set[pieces.Version] = set()
         self._serving: set[asyncio.Task[None]] = set()
         self.origin_bytes = 0
         self.peer_bytes = 0
@@ -128,15 +130,25 @@
         digests = await self.digests(version)
         indexes = iter(_in_turn(len(digests.pieces)))
         workers = [self._prefetch_some(version, indexes) for _ in range(AHEAD)]
-        await asyncio.gather(*workers)
+        self._filling.add(version)
+        try:
+            await asyncio.gather(*workers)
+        finally:
+            self._filling.discard(version)
         held = len(self._held.get(version, {}))
-        journal.info('depot.filled', version=version.mark, pieces=held)
+        journal.info(
+            'depot.filled',
+            version=version.mark,
+            pieces=held,
+            origin_bytes=self.origin_bytes,
+            peer_bytes=self.peer_bytes,
+        )
 
     async def _prefetch_some(
         self, version: pieces.Version, indexes: Iterator[int]
     ) -> None:
         for index in indexes:
-            if self._home(version, index, self._region) == self._name:
+            if self._is_home(version, index):
                 await self.piece(version, index)
 
     def forget(self, version: pieces.Version) -> None:
@@ -170,6 +182,13 @@
             return '\n'.join((str(digests.layer_count), *digests.pieces)).encode()
         if not 0 <= index < len(digests.pieces):
             return b''
+        if version in self._filling and self._is_home(version, index):
+            # The pieces come in turn; one more read at once would delay them all.
+            while version in self._filling:
+                body = self._held.get(version, {}).get(index)
+                if body is not None:
+                    return body
+                await asyncio.sleep(TURN_S)
         return await self.piece(version, index)
 
     async def _read_once(self, version: pieces.Version, index: int) -> None:
@@ -304,9 +323,11 @@
             return [*near[:2], origin]
         return [origin]
 
-    def _home(self, version: pieces.Version, index: int, region: str) -> str:
-        ordered = self._ordered(version, index, self._sources.peers(), region)
-        return ordered[0].name if ordered else ''
+    def _is_home(self, version: pieces.Version, index: int) -> bool:
+        """Tell whether this process is the home of a piece in its region."""
+        everyone = self._sources.peers()
+        ordered = self._ordered(version, index, everyone, self._region)
+        return bool(ordered) and ordered[0].name == self._name
 
     def _ordered(
         self,
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -25,6 +25,7 @@
     """The fetch of one version."""
 
     def __init__(self, now: float, span: layers.Span) -> None:
+        self.began_at = now
         self.moved_at = now
         self.span = span
         self.total = 0
@@ -65,6 +66,14 @@
             return 0.0
         return len(found.held) / found.total
 
+    def left_s(self, version: pieces.Version, share: float) -> float:
+        """Return how long a share of a version still takes, 0 when not known."""
+        found = self._fetches.get(version)
+        if found is None or not found.held:
+            return 0.0
+        missing = max(0.0, share * found.total - len(found.held))
+        return missing * (self._clock() - found.began_at) / len(found.held)
+
     async def holds(self, version: pieces.Version, span: layers.Span) -> bool:
         """Tell whether every piece of some layers is held."""
         found = self._fetches.get(version)
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -28,6 +28,7 @@
 TELL_CEILING_S = 0.35  # entries take a report for stale after 0.8 s
 NEARLY_WHOLE = 0.8  # share of the newest version from which an older is passed over
 KEPT_GOALS = 3
+LOADING_S = 0.4  # from the last piece of a part to the report that it is loaded
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -331,6 +332,14 @@
                 return False
         return True
 
+    def _ready_in_s(self, state: EngineState) -> float:
+        """Return when an empty engine will hold its first part, 0 if not known."""
+        if not self._goals or state.models:
+            return 0.0
+        newest = self._goals[-1]
+        fetched_s = self._fetches.left_s(newest.version, 1 / len(newest.parts))
+        return fetched_s + LOADING_S if fetched_s else 0.0
+
     def _report(self) -> None:
         state = self._state
         if state is None:
@@ -345,6 +354,7 @@
                 state.models,
                 self._order is not None and not self._order.alongside,
                 state.pace,
+                round(self._ready_in_s(state), 2),
             )
         now = self._clock()
         if self._told is not None and _state_of(told) == _state_of(self._told):
@@ -362,7 +372,7 @@
 
 def _state_of(told: wire.ServerState) -> wire.ServerState:
     """Return a report without the load, which changes all the time."""
-    return msgspec.structs.replace(told, active=0, queued=0, pace=1.0)
+    return msgspec.structs.replace(told, active=0, queued=0, pace=1.0, ready_in_s=0.0)
 
 
 def make_goal(
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -79,3 +79,13 @@
     table.introduce([peers.Candidate('10.0.0.9:1', 'entry', 'e9')])
     table.introduce([peers.Candidate('10.0.0.1:1', 'entry', 'e1')])
     _same([cand.name for cand in table.listed('entry')], ['e9'])
+
+
+def test_entry_among_many_agents_is_missed_soon(table, clock):
+    """Links that agents opened take nothing of the budget for heartbeats."""
+    for number in range(60):
+        card = wire.Card(f'a{number}', 'agent', 'i1', f'10.0.1.{number}:1', 'r1', 'd1')
+        table.greet(Channel(card), wire.Hello(card, leaving=False))
+    _greet(table, 'e2', '0001')
+    clock[0] += 5.0
+    _same(table.alive('entry'), [])
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -105,6 +105,16 @@
         self.staged = {}
 
 
+class Asker:
+    """A peer that keeps whether it got what it asked for."""
+
+    def __init__(self):
+        self.answers = []
+
+    def send(self, body, rid=0, *, reply=False):
+        self.answers.append(body.found)
+
+
 def _depot(origin):
     sources = depot.Sources(
         lambda: [depot.Peer('entry-1', 'region-1', None)],
@@ -420,3 +430,38 @@
         await _until(lambda: len(told) == 3)
 
     in_keeper(check, engine, FakeOrigin(), audience=200, clock=lambda: now[0])
+
+
+def test_wanted_pieces_are_read_in_turn():
+    """While an entry reads ahead, what agents want opens no more reads at once."""
+
+    async def main():
+        origin = FakeOrigin()
+        origin.delay_s = 0.05
+        running = 0
+        most = 0
+        original = origin.piece
+
+        async def piece(version, index):
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            try:
+                return await original(version, index)
+            finally:
+                running -= 1
+
+        origin.piece = piece
+        made = _depot(origin)
+        version = pieces.Version(MODEL, 1)
+        filling = asyncio.create_task(made.prefetch(version))
+        await _until(lambda: running)
+        asker = Asker()
+        for index in range(PIECES):
+            made.serve(asker, 1, wire.Want(version.mark, index, 0, 0))
+        await asyncio.wait_for(filling, 10)
+        await _until(lambda: len(asker.answers) == PIECES)
+        _same(most, depot.AHEAD)
+        _same(len(origin.reads), PIECES)
+
+    asyncio.run(main())
