Wait for the other entries before weights are read after a start

Cause: entries that came back first knew no others at 35.8 s and read every piece from the origin; four of them joined at 36.0 s. The origin sent 1.33 copies over a link that takes 1.7 s for one, so the entries were filled 2.5 s later.

The rate of grants of late is no longer asked while servers are being filled: calls that came back were refused for a rate of 6 a second that was about to rise. Choices log the servers of a chain.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -101,11 +101,13 @@
                 self._grant(queue, call, choice, now)
                 return choice
         hold_s = self._hold_s(call, service, queue, now)
-        rate = queue.rate(now)
-        expected_s = queue.ahead_of(_queue_rank(call)) / rate if rate else 0.0
+        expected_s = self._expected_s(call, service, queue, now)
         if hold_s <= 0 or expected_s > hold_s:
             ahead = queue.ahead_of(_queue_rank(call))
-            reason = f'no_place: ahead={ahead} rate={rate:.0f} may_hold_s={hold_s:.2f}'
+            reason = (
+                f'no_place: ahead={ahead} expected_s={expected_s:.2f} '
+                f'may_hold_s={hold_s:.2f}'
+            )
             raise self._refusal(call, service, reason)
         return await self._wait(queue, call, service, now + hold_s)
 
@@ -222,6 +224,24 @@
             return min(LATE_HOLD_S, left_s / 4)
         return min(filled_s + LATE_HOLD_S, left_s - FINISH_S)
 
+    def _expected_s(
+        self,
+        call: request.Call,
+        service: routes.Service,
+        queue: _Queue,
+        now: float,
+    ) -> float:
+        """Return when a call may expect a place.
+
+        While servers are being filled, the rate of late says nothing of what comes.
+        """
+        ahead = queue.ahead_of(_queue_rank(call))
+        filled_s = self._filled_in_s(call, service) if call.spent_s else None
+        if filled_s is not None and ahead < self._placer.places(service):
+            return filled_s
+        rate = queue.rate(now)
+        return ahead / rate if rate else 0.0
+
     def _filled_in_s(self, call: request.Call, service: routes.Service) -> float | None:
         """Return when servers that are being filled will serve, or None."""
         required = self._required(call.model)
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -54,12 +54,13 @@
     chain: tuple[Stop, ...] = ()
 
     def describe(self, now: float) -> str:
-        """Return what decided, for the log: prediction, load and its age."""
+        """Return what decided, for the log: prediction, load, its age, the chain."""
         backend = self.backend
         report = backend.report
         age_s = -1 if report is None else round(now - report.at, 2)
         running = backend.running(now)
-        return f'{self.predicted_s:.3f}/{running}/{backend.pending_tokens()}/{age_s}'
+        told = f'{self.predicted_s:.3f}/{running}/{backend.pending_tokens()}/{age_s}'
+        return '>'.join((told, *(stop.backend.server_id for stop in self.chain[1:])))
 
 
 class Placer:
@@ -108,6 +109,10 @@
             return self._choose_chain(call, service, required)
         return best
 
+    def places(self, service: routes.Service) -> int:
+        """Return the places of all servers of a service, taken ones included."""
+        return sum(backend.record.slots for backend in self._table.of(service.name))
+
     def filled_in_s(
         self, call: request.Call, service: routes.Service, required: int
     ) -> float | None:
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -25,7 +25,10 @@
 RETRY_S = 0.1
 RETRY_CEILING_S = 0.15  # the other side has waited for as long already
 AHEAD = 3  # reads at once of each entry, enough to fill the origin's link
-SETTLE_S = 0.25  # after a start, until the other entries are known
+# After a loss of power machines come back within half a second of each other. An
+# entry that knew none of them yet would read every piece from the origin.
+SETTLE_S = 0.6
+JOINING_S = 0.1  # from the first other entry that is known until all are
 SERVE_WAIT_S = 0.15  # a piece that is not there by then is asked for again later
 TURN_S = 0.02  # between looks at whether a piece has come in its turn
 PASSED_OVER = 16  # times that a home lacks a piece until another source is asked
@@ -126,7 +129,7 @@
 
     async def prefetch(self, version: pieces.Version) -> None:
         """Read the pieces of which this process is the home, a few at once."""
-        await asyncio.sleep(SETTLE_S)
+        await self._settle()
         digests = await self.digests(version)
         indexes = iter(_in_turn(len(digests.pieces)))
         workers = [self._prefetch_some(version, indexes) for _ in range(AHEAD)]
@@ -144,6 +147,14 @@
             peer_bytes=self.peer_bytes,
         )
 
+    async def _settle(self) -> None:
+        """Wait until the other entries are known, or are taken to be none."""
+        looks = int(SETTLE_S / TURN_S)
+        while looks and len(self._sources.peers()) < 2:
+            looks -= 1
+            await asyncio.sleep(TURN_S)
+        await asyncio.sleep(JOINING_S)
+
     async def _prefetch_some(
         self, version: pieces.Version, indexes: Iterator[int]
     ) -> None:
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -333,11 +333,18 @@
         return True
 
     def _ready_in_s(self, state: EngineState) -> float:
-        """Return when an empty engine will hold its first part, 0 if not known."""
-        if not self._goals or state.models:
+        """Return when an engine that cannot serve alone will hold more layers.
+
+        That is its first part, and after that all layers; 0 if it is not known.
+        """
+        if not self._goals:
             return 0.0
         newest = self._goals[-1]
-        fetched_s = self._fetches.left_s(newest.version, 1 / len(newest.parts))
+        held = state.models.get(newest.version.model)
+        if layers.whole_version(held, newest.layer_count):
+            return 0.0
+        share = 1 / len(newest.parts) if held is None else 1.0
+        fetched_s = self._fetches.left_s(newest.version, share)
         return fetched_s + LOADING_S if fetched_s else 0.0
 
     def _report(self) -> None:
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -1,13 +1,16 @@
 """Chains: servers that hold a part of the layers each run calls together."""
 
+import json
 import random
 
 import pytest
 from testtools import assertions, matchers
 
 import enginestand as stand
+import platformstand
 from primrosesaddle.calls import backends, placement
-from primrosesaddle.platform import wire
+from primrosesaddle.core import layers
+from primrosesaddle.platform import records, wire
 
 
 @pytest.fixture
@@ -103,3 +106,34 @@
     headers = dict(wire.request_headers(stand.call(), choice, 1.0, 0, choice.version))
     _same(headers['Path'], 'b:1=0-2,a:1=2-4')
     _same(headers['X-Expect-Version'], '2')
+
+
+def test_log_names_the_chain(table, placer):
+    """What is logged of a choice ends with the servers that follow the first."""
+    stand.fill(table, a=('d1', stand.SECOND), b=('d1', stand.FIRST))
+    choice = placer.choose(stand.call(), stand.SERVICE, 0)
+    _same(choice.describe(0.0).rpartition('>')[2], 'a')
+
+
+@pytest.mark.parametrize(
+    ('told', 'held'),
+    [
+        ({'from': 0, 'to': 2, 'version': 2}, {stand.MODEL: (0, 2, 2)}),
+        ({'from': 0, 'to': 0, 'version': 0}, {}),
+    ],
+)
+def test_record_tells_the_layers_beside_the_models(told, held):
+    """A server that holds a part of the layers is not taken for whole."""
+    server = platformstand.Server('a')
+    body = json.dumps(server.record(layers=told)).encode()
+    record = records.decode('servers/i-1', body)
+    _same(record.models, held)
+    for span in record.models.values():
+        _same(layers.whole_version(span, stand.LAYERS), 0)
+
+
+def test_server_that_tells_no_layers_holds_all():
+    """Records without layers are of servers that hold their models whole."""
+    body = json.dumps(platformstand.Server('a').record()).encode()
+    span = records.decode('servers/i-1', body).models[stand.MODEL]
+    _same(layers.whole_version(span, stand.LAYERS), 1)
--- a/tests/test_filling.py
+++ b/tests/test_filling.py
@@ -89,6 +89,25 @@
     while_empty(check, ready_in_s)
 
 
+def test_a_slow_rate_of_late_keeps_no_call_from_waiting(while_empty):
+    """Calls queue up to the places of the servers that are being filled."""
+
+    async def check(queue, table):
+        _report(table, {stand.MODEL: layers.Span(0, stand.LAYERS, 1)}, 0)
+        await queue.place(_call(0.0), stand.SERVICE)
+        _report(table, {}, FILLED_IN_S)
+        calls = [_call(3.0) for _ in range(4)]
+        placing = [
+            asyncio.create_task(queue.place(call, stand.SERVICE)) for call in calls
+        ]
+        done, waiting = await asyncio.wait(placing, timeout=0.3)
+        _same((len(done), len(waiting)), (0, 4))
+        for task in placing:
+            task.cancel()
+
+    while_empty(check, FILLED_IN_S)
+
+
 def test_call_waits_though_no_agent_has_told_a_time_yet(while_empty):
     """Right after a start, the time that agents take for a part is assumed."""
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -7,7 +7,7 @@
 import pytest
 from testtools import assertions, matchers
 
-from primrosesaddle.core import layers
+from primrosesaddle.core import layers, rendezvous
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
 from primrosesaddle.staging import depot, fetches, keeper, pieces
@@ -115,9 +115,9 @@
         self.answers.append(body.found)
 
 
-def _depot(origin):
+def _depot(origin, others=()):
     sources = depot.Sources(
-        lambda: [depot.Peer('entry-1', 'region-1', None)],
+        lambda: [depot.Peer('entry-1', 'region-1', None), *others],
         lambda: origin,
         lambda: 'region-1',
     )
@@ -465,3 +465,27 @@
         _same(len(origin.reads), PIECES)
 
     asyncio.run(main())
+
+
+def test_entry_that_starts_first_leaves_the_others_their_pieces():
+    """Pieces of which an entry is the home that joins soon are not read twice."""
+
+    async def main():
+        origin = FakeOrigin()
+        others = []
+        made = _depot(origin, others)
+        version = pieces.Version(MODEL, 1)
+        filling = asyncio.create_task(made.prefetch(version))
+        await asyncio.sleep(0.4)
+        others.append(depot.Peer('entry-2', 'region-1', None))
+        await asyncio.wait_for(filling, 10)
+        names = ('entry-1', 'entry-2')
+        mine = [
+            index
+            for index in range(PIECES)
+            if rendezvous.first(f'{version.mark}:{index}', names) == 'entry-1'
+        ]
+        assert 0 < len(mine) < PIECES
+        _same(sorted(index for _, index in origin.reads), mine)
+
+    asyncio.run(main())
