Wait in tests until entries know what agents serve

Cause: a cluster in tests counted as ready as soon as its agents were known; an entry that had not heard yet which models they serve answered no_server_lives. Futures and addresses that stood twice have one copy each.

--- /dev/null
+++ b/src/primrosesaddle/core/addresses.py
@@ -0,0 +1,9 @@
+"""Addresses of the form IP:PORT."""
+
+__all__ = ('split_address',)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an IP:PORT text."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/src/primrosesaddle/gateway/once.py
+++ b/src/primrosesaddle/gateway/once.py
@@ -3,10 +3,9 @@
 import asyncio
 import collections
 import dataclasses
-import typing
 from collections.abc import Iterable
 
-from primrosesaddle.core import rendezvous, verdict
+from primrosesaddle.core import futures, rendezvous, verdict
 
 __all__ = ('Answer', 'ForwardBook', 'Ledger', 'Ticket', 'home_of')
 
@@ -133,7 +132,7 @@
         if len(self._records) >= MAX_KEYS:
             raise verdict.not_run('key_table_full', 503, 1)
         fut = asyncio.get_running_loop().create_future()
-        fut.add_done_callback(_observe)
+        fut.add_done_callback(futures.retrieve)
         self._records[key] = _Record(fingerprint, now, fut)
         return None
 
@@ -163,7 +162,7 @@
         record = self._records.get(key)
         if record is not None:
             fut = asyncio.get_running_loop().create_future()
-            fut.add_done_callback(_observe)
+            fut.add_done_callback(futures.retrieve)
             ran = verdict.Verdict.RAN
             fut.set_exception(verdict.Refusal(ran, 'answer_not_kept', 409))
             record.done = fut
@@ -244,8 +243,3 @@
             if now - forward.at < self._retention_s:
                 return
             self._forwards.pop(key)
-
-
-def _observe(fut: 'asyncio.Future[typing.Any]') -> None:
-    if not fut.cancelled():
-        fut.exception()
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -9,6 +9,8 @@
 
 from tornado import http1connection, httputil, iostream
 
+from primrosesaddle.core import addresses, futures
+
 __all__ = ('Connection', 'Ending', 'Exchange', 'Head', 'Unreachable', 'dial')
 
 CONNECT_TIMEOUT_S = 1.0  # a healthy path answers within a few round trips
@@ -112,7 +114,7 @@
         start = httputil.RequestStartLine(method, target, 'HTTP/1.1')
         with contextlib.suppress(iostream.StreamClosedError):
             sent = self._http.write_headers(start, found, body)
-            sent.add_done_callback(_retrieve)
+            sent.add_done_callback(futures.retrieve)
             self._http.finish()
 
     async def read(self) -> Ending:
@@ -184,12 +186,13 @@
 
     Raises `Unreachable`.
     """
-    host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     set_liveness(sock)
     stream = Stream(sock, max_buffer_size=MAX_BODY_BYTES, read_chunk_size=16384)
     try:
-        await asyncio.wait_for(stream.connect((host, int(port))), timeout_s)
+        await asyncio.wait_for(
+            stream.connect(addresses.split_address(address)), timeout_s
+        )
     except _UNREACHABLE as exc:
         stream.close()
         raise Unreachable(f'{address}: {exc!r}') from None
@@ -230,9 +233,3 @@
     except OSError:
         return False
     return False
-
-
-def _retrieve(fut: 'asyncio.Future[None]') -> None:
-    """Mark a write's failure as seen; the read side reports it."""
-    if not fut.cancelled():
-        fut.exception()
--- a/src/primrosesaddle/platform/front.py
+++ b/src/primrosesaddle/platform/front.py
@@ -8,7 +8,7 @@
 from tornado import httputil, iostream
 
 from primrosesaddle.calls import attempts, doorway
-from primrosesaddle.core import verdict
+from primrosesaddle.core import futures, verdict
 from primrosesaddle.platform import names
 from primrosesaddle.telemetry import journal
 
@@ -94,7 +94,7 @@
         fut = None
         if not self._done:
             fut = self._conn.write(chunk)
-            fut.add_done_callback(_retrieve)
+            fut.add_done_callback(futures.retrieve)
         return typing.cast('Awaitable[None] | None', fut)
 
     def finish_answer(self) -> None:
@@ -140,7 +140,7 @@
         if self._door.leaving:
             headers['Connection'] = 'close'
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason or 'Status')
-        self._conn.write_headers(line, headers).add_done_callback(_retrieve)
+        self._conn.write_headers(line, headers).add_done_callback(futures.retrieve)
 
     def _asked(self) -> doorway.Asked:
         line = typing.cast(httputil.RequestStartLine, self._line)
@@ -232,7 +232,9 @@
         headers = httputil.HTTPHeaders({'Content-Type': _JSON})
         headers['Content-Length'] = str(len(body))
         line = httputil.ResponseStartLine('HTTP/1.1', status, 'Status')
-        self._conn.write_headers(line, headers, body).add_done_callback(_retrieve)
+        self._conn.write_headers(line, headers, body).add_done_callback(
+            futures.retrieve
+        )
         self._conn.finish()
 
 
@@ -280,9 +282,3 @@
         stream.close()
         return
     asyncio.get_running_loop().call_later(0.01, _close_when_sent, stream)
-
-
-def _retrieve(fut: 'asyncio.Future[None]') -> None:
-    """Mark a write's failure as seen; the close callback reports it."""
-    if not fut.cancelled():
-        fut.exception()
--- a/src/primrosesaddle/process/listen.py
+++ b/src/primrosesaddle/process/listen.py
@@ -2,6 +2,7 @@
 
 from tornado import httpserver, httputil, web
 
+from primrosesaddle.core import addresses
 from primrosesaddle.fleet import node
 from primrosesaddle.telemetry import metrics
 
@@ -23,8 +24,8 @@
         max_header_size=MAX_HEAD_BYTES,
         max_body_size=MAX_BODY_BYTES,
     )
-    host, _, port = address.rpartition(':')
-    server.listen(int(port), host, backlog=BACKLOG)
+    host, port = addresses.split_address(address)
+    server.listen(port, host, backlog=BACKLOG)
     return server
 
 
--- a/src/primrosesaddle/roles.py
+++ b/src/primrosesaddle/roles.py
@@ -13,7 +13,7 @@
 
 from primrosesaddle import settings
 from primrosesaddle.configuration import catalogue, config
-from primrosesaddle.core import kernel
+from primrosesaddle.core import addresses, kernel
 from primrosesaddle.gateway import (
     callers,
     callerstate,
@@ -272,7 +272,7 @@
 
     async def start() -> None:
         process.kernel.spawn(account(), 'floods')
-        host, port = settings.split_address(cfg.listen.callers or '')
+        host, port = addresses.split_address(cfg.listen.callers or '')
         server.listen(port, host)
 
     async def stop() -> None:
@@ -438,7 +438,7 @@
     server = httpserver.HTTPServer(admin.make_application(panel))
 
     async def start() -> None:
-        host, port = settings.split_address(process.cfg.listen.admin)
+        host, port = addresses.split_address(process.cfg.listen.admin)
         server.listen(port, host)
 
     async def stop() -> None:
--- a/src/primrosesaddle/settings.py
+++ b/src/primrosesaddle/settings.py
@@ -8,7 +8,7 @@
 
 from primrosesaddle.core import border, errors
 
-__all__ = ('Settings', 'read_settings', 'split_address')
+__all__ = ('Settings', 'read_settings')
 
 MIB = 1024 * 1024
 _Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -124,12 +124,6 @@
 _REQUIRED = ('process', 'listen', 'platform')
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of an IP:PORT text."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def parse_settings(text: str, source: str) -> Settings:
     """Parse the text of a settings file.
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -234,7 +234,11 @@
         if node.process.cfg.process.role != 'entry':
             return True
         mates = node.find('members')
-        agents = {peer.card.name for peer in mates.alive('agent')}
+        agents = {
+            peer.card.name
+            for peer in mates.alive('agent')
+            if peer.versions or peer.card.server_kind != 'engine'
+        }
         wanted = {
             other.name
             for other in self.nodes.values()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -10,7 +10,7 @@
 from testtools import assertions, matchers
 
 import support
-from primrosesaddle import settings
+from primrosesaddle.core import addresses
 
 CHAT = 'v1/chat/completions'
 
@@ -198,7 +198,7 @@
 
 def test_a_slow_body_is_cut_off_with_408(in_cluster):
     async def body(fleet):
-        host, port = settings.split_address(fleet.nodes['entry-1'].callers)
+        host, port = addresses.split_address(fleet.nodes['entry-1'].callers)
         reader, writer = await asyncio.open_connection(host, port)
         token = layout.TOKENS['lab-quito']
         writer.write(
@@ -214,7 +214,7 @@
 
 def test_a_slow_reader_does_not_block_the_others(in_cluster):
     async def body(fleet):
-        host, port = settings.split_address(fleet.nodes['entry-1'].callers)
+        host, port = addresses.split_address(fleet.nodes['entry-1'].callers)
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.setblocking(False)
