Know a caller that came back right after a start

Cause: an entry took the longest time limit that it had seen of a route for that of first attempts. The route's own limit stands in until 20 calls were seen.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -15,7 +15,9 @@
 # A call that came back after a refusal is late anyhow; it waits this long behind
 # the others.
 LATE_HOLD_S = 0.6
-FINISH_S = 1.3  # for a usual answer, once a call that waited has its place
+# Times that a usual answer takes on a full engine, for one whose call waited long:
+# many prompts are read at once where servers have just been filled.
+FINISH_TIMES = 2.5
 LEAST_HOLD_S = 0.03  # a call waits at least this long; it is no loss of time
 RESUME_HOLD_S = 1.5  # a broken stream waits; callers give up after two seconds
 # A caller that comes back sooner meets the same overload, and it waits no more than
@@ -222,7 +224,9 @@
         filled_s = self._filled_in_s(call, service)
         if filled_s is None:
             return min(LATE_HOLD_S, left_s / 4)
-        return min(filled_s + LATE_HOLD_S, left_s - FINISH_S)
+        engine = service.engine
+        finish_s = FINISH_TIMES * engine.usual_answer_s if engine else 0.0
+        return min(filled_s + LATE_HOLD_S, left_s - finish_s)
 
     def _expected_s(
         self,
--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -12,6 +12,9 @@
 NOT_READY_RETRY_S = 1.0  # a fresh process has a configuration within a second
 # Time limits of first attempts differ by up to a sixth of the longest.
 RETRY_SHARE = 0.25
+# Calls of a route after which the longest time limit among them is taken for that of
+# first attempts; before, the route's own limit is.
+KNOWN_AFTER = 20
 MAX_ROUTES = 4096  # whose time limits are remembered
 STATUS_UNKNOWN_KEY = 401
 STATUS_UNKNOWN_ROUTE = 404
@@ -37,6 +40,14 @@
     resume_from: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _Seen:
+    """The time limits that callers of a route stated."""
+
+    calls: int = 0
+    longest_s: float = 0.0
+
+
 class Doorway:
     """Let calls in that the configuration allows; refuse the others."""
 
@@ -44,7 +55,7 @@
         """Judge by a view, and serve by a relay."""
         self._view = seen
         self._relay = relay_calls
-        self._longest_s: dict[str, float] = {}
+        self._seen: dict[str, _Seen] = {}
         self.leaving = False
 
     @property
@@ -97,10 +108,14 @@
         """
         if deadline_s is None:
             return 0.0
-        longest_s = max(deadline_s, self._longest_s.get(route.name, 0.0))
-        self._longest_s[route.name] = longest_s
-        if len(self._longest_s) > MAX_ROUTES:
-            self._longest_s.pop(next(iter(self._longest_s)))
+        seen = self._seen.setdefault(route.name, _Seen())
+        seen.calls += 1
+        seen.longest_s = max(deadline_s, seen.longest_s)
+        if len(self._seen) > MAX_ROUTES:
+            self._seen.pop(next(iter(self._seen)))
+        longest_s = seen.longest_s
+        if seen.calls < KNOWN_AFTER:
+            longest_s = max(longest_s, route.timeout_s)
         spent_s = longest_s - deadline_s
         return spent_s if spent_s > RETRY_SHARE * longest_s else 0.0
 
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -78,6 +78,12 @@
         step_s = self.step_s + self.step_per_request_s * self.slots
         return step_s * self.steps_per_event
 
+    @property
+    def usual_answer_s(self) -> float:
+        """Return the seconds in which a full engine writes the usual answer."""
+        step_s = self.step_s + self.step_per_request_s * self.slots
+        return self.usual_answer * step_s
+
     @property
     def usual_read_s(self) -> float:
         """Return the seconds in which an engine reads the usual prompt."""
--- a/tests/enginestand.py
+++ b/tests/enginestand.py
@@ -8,7 +8,7 @@
 
 LAYERS = 4
 MODEL = 'm1'
-PROFILE = routes.EngineProfile(4, 0.01, 0, 1, 1e6, 100, 100, (MODEL,), LAYERS, 8, 1, 0)
+PROFILE = routes.EngineProfile(4, 0.01, 0, 1, 1e6, 100, 20, (MODEL,), LAYERS, 8, 1, 0)
 SERVICE = routes.Service('engines', 64, PROFILE)
 ROUTE = routes.Route(
     'r', 'h', '/', routes.Kind.STREAM, 5, 1, 2, 0, (('engines', 1.0),), resumable=True
