Part the keeper, the depot and the relay

The staging area, the homes of pieces, the choice of a service, the patience with a server and the final answers have modules of their own; no behaviour changes.

--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -12,8 +12,11 @@
     backends,
     budget,
     events,
+    finals,
+    patience,
     request,
     routes,
+    targets,
 )
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
@@ -22,22 +25,13 @@
 
 __all__ = ('Parts', 'Relay')
 
-# A stream without an event for this long goes on elsewhere; callers give up after
-# two seconds.
-STALL_S = 1.1
-STALL_FIRST_S = 1.5  # before the first event, when a prompt may wait to be read
-IDEMPOTENT_PATIENCE = 2.0  # objectives until an idempotent call is tried elsewhere
 WATCH_S = 0.05
 # A non-idempotent call takes a new connection: a reset of a kept one would leave open
 # whether it ran. Others ride one that idled no longer than this.
 UNSAFE_IDLE_S = 0.0
 SAFE_IDLE_S = 10.0
 MAX_REFUSALS = 3  # servers that refuse a call before it is refused
-RETRY_AFTER_S = 0.5  # when no server is known to be able to take a call
 STATUS_MISDIRECTED = 421
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
-STATUS_TIMEOUT = 504
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +72,7 @@
         except verdict.Refusal as exc:
             self._fail(call, sink, exc)
         except TimeoutError:
-            self._fail(call, sink, self._expired(call))
+            self._fail(call, sink, finals.at_time_limit(call))
         except asyncio.CancelledError:
             self._log(call, 'left', status=0)
             raise
@@ -97,7 +91,12 @@
     async def _serve(
         self, call: request.Call, sink: attempts.Sink, cutter: events.EventCutter
     ) -> None:
-        service = self._service_of(call)
+        service = targets.choose(
+            call.route,
+            self._parts.seen.configuration,
+            self._parts.table,
+            self._parts.rand,
+        )
         while True:
             choice = await self._parts.queue.place(call, service)
             call.placed = choice.describe(self._clock())
@@ -284,26 +283,6 @@
             call, 'answered', head.status, server=attempt.choice.backend.server_id
         )
 
-    def _service_of(self, call: request.Call) -> routes.Service:
-        conf = self._parts.seen.configuration
-        known = {} if conf is None else conf.services
-        targets = [
-            (known[name], weight)
-            for name, weight in call.route.targets
-            if name in known and weight > 0
-        ]
-        served = [pair for pair in targets if self._parts.table.of(pair[0].name)]
-        if not served:
-            raise verdict.not_run(
-                f'no_server: {[name for name, _ in call.route.targets]}',
-                STATUS_UNAVAILABLE,
-                RETRY_AFTER_S,
-            )
-        if len(served) == 1:
-            return served[0][0]
-        weights = [weight for _, weight in served]
-        return self._parts.rand.choices([pair[0] for pair in served], weights)[0]
-
     def _may_repeat(self, call: request.Call) -> bool:
         return (
             len(call.tried) < call.route.max_attempts
@@ -314,32 +293,20 @@
         """Raise the final refusal unless the call may be sent again."""
         not_run = call.worst is verdict.Verdict.NOT_RUN
         if not (not_run or call.route.repeatable):
-            raise verdict.may_have_run('no_answer', STATUS_BAD_GATEWAY)
+            raise finals.unanswered('no_answer')
         sent = bool(call.tried)
         allowed = self._may_repeat(call) if sent else True
         if len(call.refused_by) > MAX_REFUSALS or not allowed:
-            raise self._last_refusal(call)
+            raise finals.after_refusals(call)
         if sent and not self._parts.repeats.take(service.name):
             journal.info('call.no_budget', id=call.call_id, service=service.name)
-            raise self._last_refusal(call)
-
-    def _last_refusal(self, call: request.Call) -> verdict.Refusal:
-        if call.worst is verdict.Verdict.NOT_RUN:
-            return verdict.not_run(
-                f'refused_by: {call.refused_by}', STATUS_UNAVAILABLE, RETRY_AFTER_S
-            )
-        return verdict.may_have_run('no_answer', STATUS_BAD_GATEWAY)
-
-    def _expired(self, call: request.Call) -> verdict.Refusal:
-        if call.worst is verdict.Verdict.NOT_RUN and not call.tried:
-            return verdict.not_run('time_limit', STATUS_UNAVAILABLE, RETRY_AFTER_S)
-        return verdict.may_have_run('time_limit', STATUS_TIMEOUT)
+            raise finals.after_refusals(call)
 
     def _fail(
         self, call: request.Call, sink: attempts.Sink, refusal: verdict.Refusal
     ) -> None:
         if call.worst is not verdict.Verdict.NOT_RUN and refusal.retryable:
-            refusal = verdict.may_have_run(refusal.reason, STATUS_BAD_GATEWAY)
+            refusal = finals.unanswered(refusal.reason)
         if call.answering:
             sink.abort()
             self._log(call, 'broken_off', 0, reason=refusal.reason)
@@ -352,17 +319,10 @@
         if attempt.stalled or not call.route.repeatable or not self._may_repeat(call):
             return
         silent_s = now - attempt.moved_at
-        limit_s = self._patience_s(attempt, call)
+        limit_s = patience.of(attempt)
         if silent_s > limit_s:
             attempt.give_up(f'limit_s={limit_s:.2f}')
 
-    def _patience_s(self, attempt: attempts.Attempt, call: request.Call) -> float:
-        if call.route.kind is not routes.Kind.STREAM:
-            return IDEMPOTENT_PATIENCE * call.route.objective_s
-        if call.answering:
-            return STALL_S
-        return STALL_FIRST_S + attempt.choice.predicted_s
-
     def _log_attempt(
         self, attempt: attempts.Attempt, call: request.Call, outcome: str
     ) -> None:
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -7,7 +7,7 @@
 from primrosesaddle.fleet import mesh, node
 from primrosesaddle.membership import link, peers, wire
 from primrosesaddle.process import adapter, listen
-from primrosesaddle.staging import depot, keeper, pieces
+from primrosesaddle.staging import depot, homes, keeper, pieces
 from primrosesaddle.telemetry import metrics
 
 __all__ = ('Agent', 'make_agent')
@@ -83,9 +83,9 @@
         lonely_s = self._clock() - self._last_entry
         return self._origin if lonely_s > LONELY_S else None
 
-    def _homes(self) -> list[depot.Peer]:
+    def _homes(self) -> list[homes.Peer]:
         found = [
-            depot.Peer(peer.card.name, peer.card.region, peer.channel)
+            homes.Peer(peer.card.name, peer.card.region, peer.channel)
             for peer in self._mesh.entries()
         ]
         if found:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -20,7 +20,7 @@
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
 from primrosesaddle.process import adapter, goals, listen
-from primrosesaddle.staging import depot
+from primrosesaddle.staging import depot, homes
 from primrosesaddle.telemetry import journal, metrics
 
 __all__ = ('Entry', 'make_entry')
@@ -199,12 +199,12 @@
             )
         )
 
-    def _homes(self) -> list[depot.Peer]:
-        homes = [
-            depot.Peer(peer.card.name, peer.card.region, peer.channel)
+    def _homes(self) -> list[homes.Peer]:
+        found = [
+            homes.Peer(peer.card.name, peer.card.region, peer.channel)
             for peer in self._mesh.entries()
         ]
-        return [*homes, depot.Peer(self.cfg.name, self.cfg.region, None)]
+        return [*found, homes.Peer(self.cfg.name, self.cfg.region, None)]
 
     def _hear_server(
         self, channel: link.Channel, rid: int, body: wire.ServerState
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -12,13 +12,13 @@
 import typing
 from collections.abc import Callable, Iterator, Sequence
 
-from primrosesaddle.core import backoff, layers, rendezvous
+from primrosesaddle.core import backoff
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import pieces
+from primrosesaddle.staging import homes, pieces
 from primrosesaddle.telemetry import journal
 
-__all__ = ('Depot', 'Origin', 'Peer', 'Sources')
+__all__ = ('Depot', 'Origin', 'Sources')
 
 KEPT_VERSIONS = 3  # the newest, the one before, and one that is being superseded
 PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
@@ -54,18 +54,10 @@
         """Read a piece."""
 
 
-class Peer(typing.NamedTuple):
-    """An entry that may hold pieces."""
-
-    name: str
-    region: str
-    channel: link.Channel | None
-
-
 class Sources(typing.NamedTuple):
     """Where a depot may read: entries by region, and the origin."""
 
-    peers: Callable[[], Sequence[Peer]]
+    peers: Callable[[], Sequence[homes.Peer]]
     origin: Callable[[], Origin | None]
     origin_region: Callable[[], str]
 
@@ -131,7 +123,7 @@
         """Read the pieces of which this process is the home, a few at once."""
         await self._settle()
         digests = await self.digests(version)
-        indexes = iter(_in_turn(len(digests.pieces)))
+        indexes = iter(homes.in_turn(len(digests.pieces)))
         workers = [self._prefetch_some(version, indexes) for _ in range(AHEAD)]
         self._filling.add(version)
         try:
@@ -322,40 +314,18 @@
             self._held.pop(oldest)
             self._digests.pop(oldest, None)
 
-    def _upstreams(self, version: pieces.Version, index: int) -> list[Peer]:
-        """Return where to read, in order; a peer without a channel is the origin."""
+    def _upstreams(self, version: pieces.Version, index: int) -> list[homes.Peer]:
+        """Return where to read, in order."""
+        origin = homes.Peer('origin', self._sources.origin_region(), None)
         everyone = self._sources.peers()
-        origin = Peer('origin', self._sources.origin_region(), None)
-        mine = self._ordered(version, index, everyone, self._region)
-        if mine and mine[0].name != self._name:
-            return [*[peer for peer in mine if peer.name != self._name][:2], origin]
-        if not mine or self._region != origin.region:
-            near = self._ordered(version, index, everyone, origin.region)
-            return [*near[:2], origin]
-        return [origin]
+        return homes.upstreams(
+            self._name, self._region, origin, version, index, everyone
+        )
 
     def _is_home(self, version: pieces.Version, index: int) -> bool:
         """Tell whether this process is the home of a piece in its region."""
         everyone = self._sources.peers()
-        ordered = self._ordered(version, index, everyone, self._region)
-        return bool(ordered) and ordered[0].name == self._name
-
-    def _ordered(
-        self,
-        version: pieces.Version,
-        index: int,
-        everyone: Sequence[Peer],
-        region: str,
-    ) -> list[Peer]:
-        by_name = {peer.name: peer for peer in everyone if peer.region == region}
-        ordered = rendezvous.order(f'{version.mark}:{index}', by_name)
-        return [by_name[name] for name in ordered]
-
-
-def _in_turn(count: int) -> list[int]:
-    """Return indexes so that the parts of the layers progress alike."""
-    stride = -(-count // layers.PARTS) or 1
-    return sorted(range(count), key=lambda index: (index % stride, index))
+        return homes.is_home(self._name, self._region, version, index, everyone)
 
 
 async def _ask(channel: link.Channel, ask: wire.Want) -> bytes:
--- /dev/null
+++ b/src/primrosesaddle/staging/homes.py
@@ -0,0 +1,68 @@
+"""Homes: which entry reads a piece first, and whom the others ask for it."""
+
+import typing
+from collections.abc import Sequence
+
+from primrosesaddle.core import layers, rendezvous
+from primrosesaddle.membership import link
+from primrosesaddle.staging import pieces
+
+__all__ = ('Peer', 'in_turn', 'is_home', 'upstreams')
+
+ASKED = 2  # entries of a region that are asked for a piece before the origin is
+
+
+class Peer(typing.NamedTuple):
+    """An entry that may hold pieces; the origin has no channel."""
+
+    name: str
+    region: str
+    channel: link.Channel | None
+
+
+def is_home(
+    name: str,
+    region: str,
+    version: pieces.Version,
+    index: int,
+    everyone: Sequence[Peer],
+) -> bool:
+    """Tell whether an entry is the home of a piece in its region."""
+    ordered = _ordered(version, index, everyone, region)
+    return bool(ordered) and ordered[0].name == name
+
+
+def upstreams(
+    name: str,
+    region: str,
+    origin: Peer,
+    version: pieces.Version,
+    index: int,
+    everyone: Sequence[Peer],
+) -> list[Peer]:
+    """Return where a process in a region reads a piece, in order.
+
+    A home reads from the origin when it is in its region, else from the homes
+    there; every other process reads from the homes of its own region.
+    """
+    mine = _ordered(version, index, everyone, region)
+    if mine and mine[0].name != name:
+        return [*[peer for peer in mine if peer.name != name][:ASKED], origin]
+    if not mine or region != origin.region:
+        near = _ordered(version, index, everyone, origin.region)
+        return [*near[:ASKED], origin]
+    return [origin]
+
+
+def in_turn(count: int) -> list[int]:
+    """Return indexes so that the parts of the layers progress alike."""
+    stride = -(-count // layers.PARTS) or 1
+    return sorted(range(count), key=lambda index: (index % stride, index))
+
+
+def _ordered(
+    version: pieces.Version, index: int, everyone: Sequence[Peer], region: str
+) -> list[Peer]:
+    by_name = {peer.name: peer for peer in everyone if peer.region == region}
+    ordered = rendezvous.order(f'{version.mark}:{index}', by_name)
+    return [by_name[name] for name in ordered]
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -10,7 +10,7 @@
 from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import depot, fetches, pieces
+from primrosesaddle.staging import area, depot, fetches, pieces
 from primrosesaddle.telemetry import journal
 
 __all__ = ('Engine', 'EngineState', 'Goal', 'Keeper', 'make_goal')
@@ -43,7 +43,7 @@
     born_ms: int
 
 
-class Engine(typing.Protocol):
+class Engine(area.Shelf, typing.Protocol):
     """The engine beside an agent."""
 
     address: str
@@ -51,12 +51,6 @@
     async def report(self) -> EngineState:
         """Return the engine's report."""
 
-    async def read_piece(self, model: str, index: int) -> bytes | None:
-        """Return a staged piece, or None."""
-
-    async def write_piece(self, model: str, index: int, body: bytes) -> None:
-        """Stage a piece."""
-
     async def load(self, model: str, span: layers.Span) -> bool:
         """Order that these layers be held, and return whether that was accepted."""
 
@@ -98,15 +92,6 @@
     alongside: bool
 
 
-@dataclasses.dataclass
-class _Staging:
-    """What was written to the engine's staging area, and when that ended."""
-
-    version: pieces.Version | None = None
-    indexes: set[int] = dataclasses.field(default_factory=set)
-    ended_at: float = 0.0
-
-
 Tell = Callable[[wire.ServerState], None]
 _Held = layers.Span | None
 
@@ -129,14 +114,13 @@
         of entries that `tell` reaches.
         """
         self._engine = engine
-        self._source = source
         self._fetches = fetches.Fetches(source, clock)
         self._bound_s = bound_s
         self._tell = tell
         self._audience = audience
         self._clock = clock
         self._goals: list[Goal] = []
-        self._staging = _Staging()
+        self._area = area.Area(engine, source, clock)
         self._state: EngineState | None = None
         self._failed_looks = 0
         self._order: _Order | None = None
@@ -189,7 +173,7 @@
 
     def _forget_engine(self) -> None:
         self._state = None
-        self._staging = _Staging()
+        self._area.forget()
         self._order = None
 
     async def _advance(self) -> None:
@@ -210,7 +194,7 @@
         try:
             await self._bring_next(newest, loaded, held)
         except call.CallFailed as exc:
-            self._staging = _Staging()
+            self._area.forget()
             journal.warning('engine.call_failed', error=str(exc))
 
     async def _bring_next(self, newest: Goal, loaded: int, held: _Held) -> None:
@@ -234,7 +218,7 @@
 
     async def _bring(self, goal: Goal, loaded: int, held: _Held) -> None:
         """Load a version that is fetched whole, in turn if another one serves."""
-        await self._stage(goal.version, goal.all_layers)
+        await self._area.stage(goal.version, goal.all_layers)
         if loaded and self._clock() < self._turn(goal):
             return
         await self._load(goal, goal.all_layers, held)
@@ -243,15 +227,15 @@
         """Load the first part that is fetched, and serve with it before the rest."""
         for span in goal.parts:
             if await self._fetches.holds(goal.version, span):
-                await self._stage(goal.version, span)
+                await self._area.stage(goal.version, span)
                 await self._load(goal, span, None)
                 return
 
     def _turn(self, goal: Goal) -> float:
         """Return when this server may switch, in its turn before the bound."""
         last = goal.named_at + self._bound_s - LAST_TURN_MARGIN_S
-        spread_s = max(0.0, last - self._staging.ended_at)
-        return self._staging.ended_at + spread_s * goal.place
+        spread_s = max(0.0, last - self._area.ended_at)
+        return self._area.ended_at + spread_s * goal.place
 
     async def _load(self, goal: Goal, span: layers.Span, held: _Held) -> None:
         wanted = goal.version
@@ -259,7 +243,7 @@
         if order is not None and (order.version, order.span) == (wanted, span):
             if self._clock() - order.at <= ORDER_RETRY_S:
                 return
-        if not await self._verify(wanted, span):
+        if not await self._area.verify(wanted, span):
             return
         alongside = held is not None and held.version == wanted.number
         self._order = _Order(wanted, span, self._clock(), alongside)
@@ -296,42 +280,6 @@
         self._order = None
         self._fetches.drop_before(order.version)
 
-    async def _stage(self, wanted: pieces.Version, span: layers.Span) -> None:
-        """Write the pieces of some layers to the engine's staging area.
-
-        Raises `call.CallFailed`.
-        """
-        staging = self._staging
-        if staging.version != wanted:
-            staging = self._staging = _Staging(wanted)
-        digests = await self._source.digests(wanted)
-        missing = [
-            index
-            for index in pieces.indexes_of(digests, span)
-            if index not in staging.indexes
-        ]
-        for index in missing:
-            body = await self._source.piece(wanted, index)
-            await self._engine.write_piece(wanted.model, index, body)
-            staging.indexes.add(index)
-        if missing:
-            staging.ended_at = self._clock()
-            journal.info('version.staged', version=wanted.mark, pieces=len(missing))
-
-    async def _verify(self, wanted: pieces.Version, span: layers.Span) -> bool:
-        """Read back the staged pieces of some layers, and tell whether all are sound.
-
-        Raises `call.CallFailed`.
-        """
-        digests = await self._source.digests(wanted)
-        for index in pieces.indexes_of(digests, span):
-            body = await self._engine.read_piece(wanted.model, index)
-            if body is None or not pieces.is_piece(digests, index, body):
-                journal.warning('staged.spoilt', version=wanted.mark, index=index)
-                self._staging = _Staging()
-                return False
-        return True
-
     def _ready_in_s(self, state: EngineState) -> float:
         """Return when an engine that cannot serve alone will hold more layers.
 
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -10,7 +10,7 @@
 from primrosesaddle.core import layers, rendezvous
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import depot, fetches, keeper, pieces
+from primrosesaddle.staging import depot, fetches, homes, keeper, pieces
 
 PIECES = 8
 LAYERS = 4
@@ -117,7 +117,7 @@
 
 def _depot(origin, others=()):
     sources = depot.Sources(
-        lambda: [depot.Peer('entry-1', 'region-1', None), *others],
+        lambda: [homes.Peer('entry-1', 'region-1', None), *others],
         lambda: origin,
         lambda: 'region-1',
     )
@@ -477,7 +477,7 @@
         version = pieces.Version(MODEL, 1)
         filling = asyncio.create_task(made.prefetch(version))
         await asyncio.sleep(0.4)
-        others.append(depot.Peer('entry-2', 'region-1', None))
+        others.append(homes.Peer('entry-2', 'region-1', None))
         await asyncio.wait_for(filling, 10)
         names = ('entry-1', 'entry-2')
         mine = [
