Load a model as a whole where the number of its layers is not told

Cause: an unknown number of layers was taken for one, in two places, so an agent would have staged the pieces of one layer and ordered layers 0 to 1. The new test failed with (0, 1) in place of all layers.

One span stands for all layers, told or not; orders name no layers then. A fetch keeps the digests that it began with, so a look at what is held waits for nothing.

--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -83,14 +83,14 @@
 
         Raises `call.CallFailed` when it is not known whether it was.
         """
-        order = {
+        order: dict[str, str | int] = {
             'op': 'start',
             'model': model,
             'version': span.version,
             'switchMode': 'queue',
-            'from': span.first,
-            'to': span.end,
         }
+        if span.end != layers.ALL:
+            order.update({'from': span.first, 'to': span.end})
         body = msgspec.json.encode(order)
         answer = await self._client.call(
             'POST', names.ORDER_PATH, ORDER_TIMEOUT_S, body, kept=False
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -12,7 +12,6 @@
 __all__ = ('decode',)
 
 _MS = 1000.0
-_ALL_LAYERS = 2**31  # more than any model has
 
 _Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 _Address = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
@@ -160,9 +159,7 @@
     A server that does not tell its layers holds all of them.
     """
     if told is None:
-        return {
-            model.name: layers.Span(0, _ALL_LAYERS, model.version) for model in models
-        }
+        return {model.name: layers.whole(0, model.version) for model in models}
     held = layers.Span(told.first, told.end, told.version)
     return {model.name: held for model in models if held.first < held.end}
 
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -28,10 +28,14 @@
         self.began_at = now
         self.moved_at = now
         self.span = span
-        self.total = 0
+        self.digests: pieces.Digests | None = None
         self.held: set[int] = set()
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def total(self) -> int:
+        return 0 if self.digests is None else len(self.digests.pieces)
+
     @property
     def whole(self) -> bool:
         return self.total > 0 and len(self.held) == self.total
@@ -74,13 +78,12 @@
         missing = max(0.0, share * found.total - len(found.held))
         return missing * (self._clock() - found.began_at) / len(found.held)
 
-    async def holds(self, version: pieces.Version, span: layers.Span) -> bool:
+    def holds(self, version: pieces.Version, span: layers.Span) -> bool:
         """Tell whether every piece of some layers is held."""
         found = self._fetches.get(version)
-        if found is None or not found.total:
+        if found is None or found.digests is None:
             return False
-        digests = await self._source.digests(version)
-        return found.held.issuperset(pieces.indexes_of(digests, span))
+        return found.held.issuperset(pieces.indexes_of(found.digests, span))
 
     def drop_before(self, version: pieces.Version) -> None:
         """Forget the versions of a model that are older than one."""
@@ -92,14 +95,13 @@
                 self._source.forget(known)
 
     async def _run(self, version: pieces.Version, begun: _Fetch) -> None:
-        began = self._clock()
         digests = await self._source.digests(version)
-        begun.total = len(digests.pieces)
+        begun.digests = digests
         missing = collections.deque(range(begun.total))
         missing.rotate(-pieces.indexes_of(digests, begun.span).start)
         readers = [self._read_some(version, begun, missing) for _ in range(READERS)]
         await asyncio.gather(*readers)
-        took_s = round(self._clock() - began, 3)
+        took_s = round(self._clock() - begun.began_at, 3)
         journal.info('version.fetched', version=version.mark, took_s=took_s)
 
     async def _read_some(
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -72,12 +72,12 @@
     @property
     def all_layers(self) -> layers.Span:
         """Return the span of all layers, whose number may not be known."""
-        return layers.Span(0, max(1, self.layer_count), self.version.number)
+        return layers.whole(self.layer_count, self.version.number)
 
     @property
     def parts(self) -> tuple[layers.Span, ...]:
         """Return the parts of the layers, the one to load first leading."""
-        found = layers.parts(self.all_layers.end, self.version.number)
+        found = layers.parts(self.layer_count, self.version.number)
         first = self.part % len(found)
         return found[first:] + found[:first]
 
@@ -226,7 +226,7 @@
     async def _bring_part(self, goal: Goal) -> None:
         """Load the first part that is fetched, and serve with it before the rest."""
         for span in goal.parts:
-            if await self._fetches.holds(goal.version, span):
+            if self._fetches.holds(goal.version, span):
                 await self._area.stage(goal.version, span)
                 await self._load(goal, span, None)
                 return
@@ -313,8 +313,8 @@
             )
         now = self._clock()
         if self._told is not None and _state_of(told) == _state_of(self._told):
-            least_s = TELL_S if told == self._told else self._pause_s()
-            if now - self._told_at < max(least_s, self._pause_s()):
+            quiet_s = TELL_S if told == self._told else 0.0
+            if now - self._told_at < max(quiet_s, self._pause_s()):
                 return
         self._told = told
         self._told_at = now
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -1,6 +1,7 @@
 """Weights on their way: depots, fetches and keepers against small fakes."""
 
 import asyncio
+import dataclasses
 import hashlib
 import random
 
@@ -96,7 +97,7 @@
         expected = [_body(version, index) for index in indexes]
         self.orders.append((span.version, staged == expected))
         self.spans.append((span.first, span.end))
-        self.models = {MODEL: span}
+        self.models = {MODEL: span._replace(end=min(span.end, LAYERS))}
         return True
 
     def restart(self):
@@ -489,3 +490,19 @@
         _same(sorted(index for _, index in origin.reads), mine)
 
     asyncio.run(main())
+
+
+def test_unknown_number_of_layers_is_loaded_as_a_whole(in_keeper):
+    """Where it is not told how many layers there are, every piece comes first."""
+    engine = FakeEngine()
+    origin = FakeOrigin()
+
+    async def check(kept, told):
+        kept.aim(dataclasses.replace(_goal(1), layer_count=0))
+        await _until(lambda: engine.spans)
+        _same(engine.spans, [(0, layers.ALL)])
+        _same(engine.orders, [(1, True)])
+        _same(len(engine.staged), PIECES)
+        await _until(lambda: not told[-1].switching and told[-1].models)
+
+    in_keeper(check, engine, origin)
