Reckon once when servers are filled, and choose heads as whole servers are

A refused call asked up to three times which servers are usable; it is asked once and passed on. The choice among whole servers and among heads of chains was the same loop twice. No behaviour changes.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -102,15 +102,16 @@
             if choice is not None:
                 self._grant(queue, call, choice, now)
                 return choice
-        hold_s = self._hold_s(call, service, queue, now)
-        expected_s = self._expected_s(call, service, queue, now)
+        filled_s = self._filled_in_s(call, service)
+        hold_s = self._hold_s(call, service, queue, filled_s)
+        expected_s = self._expected_s(call, service, queue, filled_s)
         if hold_s <= 0 or expected_s > hold_s:
             ahead = queue.ahead_of(_queue_rank(call))
             reason = (
                 f'no_place: ahead={ahead} expected_s={expected_s:.2f} '
                 f'may_hold_s={hold_s:.2f}'
             )
-            raise self._refusal(call, service, reason)
+            raise self._refusal(call, filled_s, reason)
         return await self._wait(queue, call, service, now + hold_s)
 
     def release(self, call: request.Call, choice: placement.Choice) -> None:
@@ -179,9 +180,8 @@
             for waiter in [found for found in waiting if now >= found.until]:
                 waiting.remove(waiter)
                 if not waiter.fut.done():
-                    refusal = self._refusal(
-                        waiter.call, waiter.service, 'no_place: held'
-                    )
+                    filled_s = self._filled_in_s(waiter.call, waiter.service)
+                    refusal = self._refusal(waiter.call, filled_s, 'no_place: held')
                     waiter.fut.set_exception(refusal)
 
     def _choose(
@@ -206,9 +206,10 @@
         call: request.Call,
         service: routes.Service,
         queue: _Queue,
-        now: float,
+        filled_s: float | None,
     ) -> float:
         """Return how long a call may wait for a place and still be on time."""
+        now = self._clock()
         left_s = call.final_at - now
         if call.answering:
             return min(RESUME_HOLD_S, left_s / 2)
@@ -221,7 +222,6 @@
             return max(on_time_s, LEAST_HOLD_S)
         if not call.spent_s:
             return LEAST_HOLD_S
-        filled_s = self._filled_in_s(call, service)
         if filled_s is None:
             return min(LATE_HOLD_S, left_s / 4)
         engine = service.engine
@@ -233,17 +233,17 @@
         call: request.Call,
         service: routes.Service,
         queue: _Queue,
-        now: float,
+        filled_s: float | None,
     ) -> float:
         """Return when a call may expect a place.
 
         While servers are being filled, the rate of late says nothing of what comes.
         """
         ahead = queue.ahead_of(_queue_rank(call))
-        filled_s = self._filled_in_s(call, service) if call.spent_s else None
-        if filled_s is not None and ahead < self._placer.places(service):
-            return filled_s
-        rate = queue.rate(now)
+        if filled_s is not None and call.spent_s:
+            if ahead < self._placer.places(service):
+                return filled_s
+        rate = queue.rate(self._clock())
         return ahead / rate if rate else 0.0
 
     def _filled_in_s(self, call: request.Call, service: routes.Service) -> float | None:
@@ -252,12 +252,11 @@
         return self._placer.filled_in_s(call, service, required)
 
     def _refusal(
-        self, call: request.Call, service: routes.Service, reason: str
+        self, call: request.Call, filled_s: float | None, reason: str
     ) -> verdict.Refusal:
         """Return a refusal that tells when a place may be free."""
         left_s = call.final_at - self._clock()
         retry_s = min(MOST_RETRY_S, left_s / 3)
-        filled_s = self._filled_in_s(call, service)
         if filled_s is not None:
             retry_s = min(retry_s, filled_s)
         return verdict.not_run(reason, 503, round(max(LEAST_RETRY_S, retry_s), 2))
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 import typing
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from primrosesaddle.calls import backends, request, routes
 from primrosesaddle.core import layers
@@ -94,20 +94,14 @@
         `required` is the least version of the call's model.
         """
         now = self._clock()
-        best: Choice | None = None
-        best_score = 0.0
-        for backend in self.usable(call, service, required):
-            if not self._has_place(backend, call, service, now):
-                continue
-            predicted_s = self._predict_s(backend, call, service, now)
-            score = self._score(backend, predicted_s)
-            if best is None or score < best_score:
-                version = self._version(backend, call, service, now)
-                best = Choice(backend, predicted_s, version)
-                best_score = score
-        if best is None and service.engine is not None and call.model:
-            return self._choose_chain(call, service, required)
-        return best
+        found = self._soonest(self.usable(call, service, required), call, service, now)
+        if found is not None:
+            backend, predicted_s = found
+            version = self._version(backend, call, service, now)
+            return Choice(backend, predicted_s, version)
+        if service.engine is not None and call.model:
+            return self._choose_chain(call, service, required, now)
+        return None
 
     def places(self, service: routes.Service) -> int:
         """Return the places of all servers of a service, taken ones included."""
@@ -145,26 +139,42 @@
         return sound or found
 
     def _choose_chain(
-        self, call: request.Call, service: routes.Service, required: int
+        self, call: request.Call, service: routes.Service, required: int, now: float
     ) -> Choice | None:
         """Return servers that hold all layers between them, or None.
 
         They stand in one data centre, as every token passes from one to the next.
         """
-        now = self._clock()
         held = self._partly_held(call, service, required, now)
-        best: Choice | None = None
-        best_score = 0.0
+        chains = {}
         for backend, span in held:
+            chain = _chain(held, backend, span.version, _layers(service))
+            if chain:
+                chains[backend.server_id] = (span.version, chain)
+        heads = [backend for backend, _ in held if backend.server_id in chains]
+        found = self._soonest(heads, call, service, now)
+        if found is None:
+            return None
+        backend, predicted_s = found
+        return Choice(backend, predicted_s, *chains[backend.server_id])
+
+    def _soonest(
+        self,
+        found: Iterable[backends.Backend],
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> tuple[backends.Backend, float] | None:
+        """Return the best server with a free place and its prediction, or None."""
+        best: tuple[backends.Backend, float] | None = None
+        best_score = 0.0
+        for backend in found:
             if not self._has_place(backend, call, service, now):
                 continue
             predicted_s = self._predict_s(backend, call, service, now)
             score = self._score(backend, predicted_s)
-            if best is not None and score >= best_score:
-                continue
-            chain = _chain(held, backend, span.version, _layers(service))
-            if chain:
-                best = Choice(backend, predicted_s, span.version, chain)
+            if best is None or score < best_score:
+                best = backend, predicted_s
                 best_score = score
         return best
 
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -103,7 +103,9 @@
         goals = []
         for service in conf.services.values():
             engine = service.engine
-            for model in engine.models if engine else ():
+            if engine is None:
+                continue
+            for model in engine.models:
                 version = max(FIRST_VERSION, self._view.newest(model))
                 goal = wire.Goal(
                     model,
@@ -111,7 +113,7 @@
                     ages_s.get(f'{model}@{version}', 0.0),
                     conf.origin.address,
                     self.origin_region(),
-                    layer_count=engine.layer_count if engine else 0,
+                    layer_count=engine.layer_count,
                 )
                 goals.append((service.name, goal))
         return goals
