Reproduce an old version that is taken for newly named after a start

The entry's first read finds a version that was named before. 3 s after the start, the bound at which the users count a process as in touch, a call is still sent to a server that holds an older version: 200 in place of 503.

--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -18,6 +18,20 @@
 SEAL = 'X-Response-Seal'
 MODEL = 'm1'
 KEY = 'key-of-w1'
+CONTACT_S = 3.0  # after which a process that started counts as in touch
+ENGINES = {
+    'name': 'engines',
+    'healthPath': '/healthz',
+    'maxConnections': 64,
+    'protocol': 'h1',
+    'tls': False,
+    'engine': {
+        'slots': 4,
+        'step_ms': 7.4,
+        'read_per_s': 30000,
+        'models': [{'name': MODEL, 'warm_s': 0.3}],
+    },
+}
 
 
 def free_address() -> str:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -377,6 +377,26 @@
     in_fleet(check, server)
 
 
+def test_restarted_entry_does_not_take_an_old_version_for_newly_named(in_fleet):
+    """What was named before a start is required as soon as others may know of it."""
+    server = stand.Server('a', stand.stream(3))
+
+    async def check(fleet):
+        fleet.store.put('op/config', stand.configuration(2, services=[stand.ENGINES]))
+        fleet.store.put(
+            f'op/version/{stand.MODEL}', {'model': stand.MODEL, 'version': 2}
+        )
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        await fleet.entry.stop()
+        await fleet.restart()
+        await fleet.until(lambda: fleet.known_servers())
+        await asyncio.sleep(stand.CONTACT_S)
+        got = await fleet.call('/chat/1', headers={'X-Model': stand.MODEL})
+        _same((got.status, server.seen), (503, []))
+
+    in_fleet(check, server)
+
+
 def test_kept_connection_that_fell_silent_is_left(in_fleet):
     """A call on it goes on at another server within its time."""
     servers = [stand.Server('a'), stand.Server('b')]
