Log the version a call was placed on, and the one required

The log of a call named neither, so a call that began on an older version could not be told from one whose server was taken for switched. Each line of a call now has both, as they were when it was placed.

--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -98,8 +98,10 @@
             self._parts.rand,
         )
         while True:
+            call.required = self._required(call)
             choice = await self._parts.queue.place(call, service)
             call.placed = choice.describe(self._clock())
+            call.version = choice.version
             attempt = attempts.Attempt(self._parts.wire, call, choice)
             try:
                 done = await self._run(attempt, call, sink, cutter, service)
@@ -173,16 +175,20 @@
     def _headers(
         self, attempt: attempts.Attempt, call: request.Call, cutter: events.EventCutter
     ) -> list[tuple[str, str]]:
-        version = attempt.choice.version
-        required = self._parts.required(call.model) if call.model else 0
+        call.required = self._required(call)
+        must_match = attempt.choice.chain or 0 < call.required <= call.version
         return self._parts.wire.request_headers(
             call,
             attempt.choice,
             call.final_at - self._clock(),
             cutter.last_id,
-            version if attempt.choice.chain or 0 < required <= version else 0,
+            call.version if must_match else 0,
         )
 
+    def _required(self, call: request.Call) -> int:
+        """Return the least version that a call may begin on, 0 when any may."""
+        return self._parts.required(call.model) if call.model else 0
+
     def _stream_hooks(
         self,
         attempt: attempts.Attempt,
@@ -354,6 +360,8 @@
             held_s=round(call.held_s, 3),
             first_s=round(call.first_s, 3),
             placed=call.placed,
+            version=call.version,
+            required=call.required,
             total_s=round(total_s, 3),
             tried=','.join(call.tried),
             verdict=call.worst.value,
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -23,7 +23,8 @@
     """One call; times are of the event loop's clock, in seconds.
 
     `final_at` is when the caller gets its final answer at the latest; `spent_s` is
-    what the caller had spent on earlier attempts.
+    what the caller had spent on earlier attempts. `version` is that of the model at
+    the server chosen last, `required` the least that was allowed then.
     """
 
     call_id: str
@@ -47,6 +48,8 @@
     held_s: float = 0.0
     first_s: float = 0.0
     placed: str = ''
+    version: int = 0
+    required: int = 0
     answering: bool = False
 
     @property
