Do not take a version that a start finds for newly named

Cause: an entry kept the time at which it learned of a version as the time at which the version was named. An entry that started took every version for new, and for the length of the bound let calls begin on any. Peers told the age only along with items, to an entry that was behind the store; one that read the store first never heard it. Agents took the same age from it, and would have switched late. Ages stood still while a machine was suspended.

Ages are now told to each entry that joins and now and then, by entries and by agents that know them, with those of versions that were superseded before the entry started. Until one is told, a version that the first read finds counts as old enough to be required when the entry counts as in touch. An assumed age is marked, yields to a known one, and is told to agents alone, which then hurry. Ages go by the clock that counts suspended time. The log has version.age and version.required.

--- a/src/primrosesaddle/core/pause.py
+++ b/src/primrosesaddle/core/pause.py
@@ -1,11 +1,18 @@
 """Detection of a process that stood still, and of messages that grew old meanwhile."""
 
-__all__ = ('PauseDetector',)
+import time
+
+__all__ = ('PauseDetector', 'boot_time')
 
 TICK_S = 0.1
 PAUSE_S = 1.0
 
 
+def boot_time() -> float:
+    """Return the seconds since boot, those in which the machine slept included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class PauseDetector:
     """Notice, from gaps in a monotonic clock, that this process stood still."""
 
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -26,6 +26,7 @@
         """Prepare the links of a process; an agent has no view to share."""
         self.board = switchboard.Switchboard()
         self.ready: Callable[[], bool] = bool
+        self.ages_s: Callable[[], dict[str, float]] = dict
         self._view = seen
         self._rand = rand
         self._pulling: set[str] = set()
@@ -41,6 +42,8 @@
         board.on(wire.Roster, self._take_roster)
         if seen is not None:
             board.on(wire.PullItems, self._answer_pull)
+            board.on(wire.NamedAges, self._take_ages)
+            self.ages_s = seen.namings.known_ages_s
             board.watch = self._saw_revision
             board.revision = lambda: seen.revision
 
@@ -54,12 +57,15 @@
         self.mates.introduce(peers.Candidate(address) for address in seeds)
 
     async def run(self) -> None:
-        """Tell a peer at random which entries there are, until cancelled."""
+        """Tell peers at random what this process knows, until cancelled."""
         while True:
             await asyncio.sleep(ROSTER_S * self._rand.uniform(0.8, 1.2))
             told = list(self.mates.peers.values())
             if told:
                 self._rand.choice(told).channel.send(self.mates.roster())
+            entries = self.mates.alive('entry')
+            if entries:
+                self._tell_ages(self._rand.choice(entries))
 
     async def stop(self) -> None:
         """Close the links."""
@@ -90,6 +96,17 @@
 
     def _greet(self, peer: peers.Peer) -> None:
         peer.channel.send(self.mates.roster())
+        if peer.card.role == 'entry':
+            self._tell_ages(peer)
+
+    def _tell_ages(self, peer: peers.Peer) -> None:
+        ages_s = self.ages_s()
+        if ages_s:
+            peer.channel.send(wire.NamedAges(ages_s))
+
+    def _take_ages(self, channel: link.Channel, rid: int, body: wire.NamedAges) -> None:
+        if self._view is not None:
+            self._view.namings.hear(body.ages_s)
 
     def _take_roster(self, channel: link.Channel, rid: int, body: wire.Roster) -> None:
         self.mates.introduce(
@@ -139,7 +156,7 @@
             seen.replace(view.Snapshot(items, body.revision), name)
         else:
             seen.apply(view.Changes(items, body.revision), name)
-        seen.age(body.named_ages_s)
+        seen.namings.hear(body.named_ages_s)
 
     def _answer_pull(
         self, channel: link.Channel, rid: int, body: wire.PullItems
@@ -152,7 +169,7 @@
             tuple((item.key, item.body, item.revision) for item in found.items),
             found.revision,
             whole,
-            self._view.named_ages(),
+            self.ages_s(),
         )
         channel.send(told, rid, reply=True)
 
--- a/src/primrosesaddle/fleet/node.py
+++ b/src/primrosesaddle/fleet/node.py
@@ -18,6 +18,7 @@
     retry_extra: float
     version_s: float
     directory_ttl_s: float
+    contact_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -1,13 +1,13 @@
 """The view: what this process believes of all that is published."""
 
-import dataclasses
 import typing
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import msgspec
 
 from primrosesaddle.calls import routes
 from primrosesaddle.fleet import servers
+from primrosesaddle.staging import namings, pieces
 from primrosesaddle.telemetry import journal
 
 __all__ = ('Changes', 'Item', 'Snapshot', 'View')
@@ -20,7 +20,6 @@
 LAPSE_SEEN_S = 0.3
 # Tombstones that are kept for peers that ask for changes past a revision.
 HISTORY = 512
-MAX_VERSIONS = 8  # versions of a model whose times are kept
 
 
 class Item(typing.NamedTuple):
@@ -45,14 +44,6 @@
     revision: int
 
 
-@dataclasses.dataclass
-class Named:
-    """A version of a model's weights, and when this process learned of it."""
-
-    version: int
-    learned_at: float
-
-
 Decode = Callable[[str, bytes], object | None]
 Listener = Callable[[], None]
 
@@ -60,8 +51,16 @@
 class View:
     """Published records by key; an older revision never replaces a newer one."""
 
-    def __init__(self, decode: Decode, clock: Callable[[], float]) -> None:
-        """Create an empty view over a function that decodes items."""
+    def __init__(
+        self,
+        decode: Decode,
+        clock: Callable[[], float],
+        assumed_age_s: float = 0.0,
+    ) -> None:
+        """Create an empty view over a function that decodes items.
+
+        `assumed_age_s` is the age taken for a version that is found already named.
+        """
         self._decode = decode
         self._clock = clock
         self._items: dict[str, Item] = {}
@@ -72,7 +71,7 @@
         self._history_from = 0
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
-        self.named: dict[str, list[Named]] = {}
+        self.namings = namings.Namings(clock, assumed_age_s)
         self.revision = 0
         self.listeners: list[Listener] = []
 
@@ -106,23 +105,6 @@
         """Return the revision from which on every removal is known."""
         return self._history_from
 
-    def named_ages(self) -> dict[str, float]:
-        """Return how long ago each named version was learned of, by its mark."""
-        now = self._clock()
-        return {
-            f'{model}@{named.version}': round(now - named.learned_at, 3)
-            for model, found in self.named.items()
-            for named in found
-        }
-
-    def age(self, ages_s: Mapping[str, float]) -> None:
-        """Take a peer's word of when versions were named, where it is earlier."""
-        now = self._clock()
-        for model, found in self.named.items():
-            for named in found:
-                age_s = ages_s.get(f'{model}@{named.version}', 0.0)
-                named.learned_at = min(named.learned_at, now - age_s)
-
     def since(self, revision: int) -> Changes:
         """Return the items and removals past a revision, for a peer."""
         found = [
@@ -143,24 +125,6 @@
         if due:
             self._tell()
 
-    def newest(self, model: str) -> int:
-        """Return the newest named version of a model, 0 when none is named."""
-        found = self.named.get(model)
-        return found[-1].version if found else 0
-
-    def required(self, model: str, bound_s: float) -> int:
-        """Return the version below which nothing may begin, 0 when any may.
-
-        `bound_s` is the age in seconds from which a named version is required.
-        """
-        now = self._clock()
-        old = [
-            named.version
-            for named in self.named.get(model, ())
-            if now - named.learned_at >= bound_s
-        ]
-        return max(old, default=0)
-
     def _take(self, item: Item, source: str) -> bool:
         known = self._items.get(item.key) or self._removed.get(item.key)
         if known is not None and known.revision >= item.revision:
@@ -234,17 +198,18 @@
     def _adopt_version(
         self, record: servers.WantedVersion, item: Item, source: str
     ) -> bool:
-        if record.version <= self.newest(record.model):
+        version = pieces.Version(record.model, record.version)
+        # The first read finds what was named at any time before.
+        is_new = self.revision > 0
+        if not self.namings.learn(version, is_new=is_new):
             return False
-        known = self.named.get(record.model, [])
-        found = Named(record.version, self._clock())
-        self.named[record.model] = [*known, found][-MAX_VERSIONS:]
         journal.info(
             'version.named',
             model=record.model,
             version=record.version,
             revision=item.revision,
             source=source,
+            new=is_new,
         )
         return True
 
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -255,6 +255,7 @@
 
     `place` is the receiver's, from 0 to 1, in the order in which servers switch;
     `part` is the part of the layers that it loads first, of those that there are.
+    `age_known` is false for an age that the sender assumes.
     """
 
     model: str
@@ -265,6 +266,13 @@
     place: float = 0.0
     layer_count: int = 0
     part: int = 0
+    age_known: bool = True
+
+
+class NamedAges(msgspec.Struct, tag=26, array_like=True, frozen=True):
+    """How long ago versions of weights were named, in seconds, by their marks."""
+
+    ages_s: dict[str, float]
 
 
 Body = (
@@ -293,6 +301,7 @@
     | Items
     | ServerState
     | Goal
+    | NamedAges
 )
 
 
--- a/src/primrosesaddle/platform/settings.py
+++ b/src/primrosesaddle/platform/settings.py
@@ -46,6 +46,8 @@
     version_ms: float = 8000
     # The most of a directory answer's time to live that callers honour.
     ttl_max_s: float = 5
+    # From a start or a healed path until a process is held to the bounds.
+    contact_ms: float = msgspec.field(name='contactMs', default=3000)
 
 
 class _Provider(msgspec.Struct):
@@ -121,4 +123,5 @@
         retry_extra=found.budget_extra,
         version_s=found.version_ms / _MS,
         directory_ttl_s=found.ttl_max_s,
+        contact_s=found.contact_ms / _MS,
     )
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 
 from tornado import httpserver, httputil
 
@@ -46,7 +45,10 @@
         self._clock = asyncio.get_running_loop().time
         self._rand = random.Random()
         self._adapter = made
-        self._view = view.View(made.decode, self._clock)
+        # What was named before this process looked must be in force here by the
+        # time that others count it as in touch.
+        assumed_age_s = max(0.0, cfg.bounds.version_s - cfg.bounds.contact_s)
+        self._view = view.View(made.decode, pause.boot_time, assumed_age_s)
         self._metrics = metrics.make_metrics()
         self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self._mesh.ready = lambda: self.ready
@@ -59,6 +61,7 @@
         self._door = doorway.Doorway(self._view, self._relay)
         self._reader = reader.Reader(made.source, self._view, self._rand, self._clock)
         self._servers: list[httpserver.HTTPServer] = []
+        self._noted: dict[str, int] = {}  # versions that were logged as required
         self._origin: depot.Origin | None = None
         self._origin_address = ''
         self._depot = depot.Depot(
@@ -69,7 +72,7 @@
             ),
             self._rand,
         )
-        self._goals = goals.Goals(self._view, self._mesh, self._depot, self._clock)
+        self._goals = goals.Goals(self._view, self._mesh, self._depot, pause.boot_time)
         self._mesh.mates.joined.append(self._goals.tell)
         self._mesh.board.on(wire.ServerState, self._hear_server)
         self._mesh.board.on(wire.Want, self._depot.serve)
@@ -153,7 +156,8 @@
         return [address for address in found if address][:MAX_ADDRESSES]
 
     def _required(self, model: str) -> int:
-        return self._view.required(model, self.cfg.bounds.version_s - VERSION_MARGIN_S)
+        bound_s = self.cfg.bounds.version_s - VERSION_MARGIN_S
+        return self._view.namings.required(model, bound_s)
 
     def _fill_s(self, service: routes.Service) -> float | None:
         """Return how long the agents of a service take for a part of the weights."""
@@ -234,13 +238,21 @@
             self._queue.pump(service)
 
     async def _sweep(self) -> None:
-        pauses = pause.PauseDetector(time.clock_gettime(time.CLOCK_BOOTTIME))
+        pauses = pause.PauseDetector(pause.boot_time())
         while True:
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
-            if pauses.observe(time.clock_gettime(time.CLOCK_BOOTTIME)):
+            self._note_required()
+            if pauses.observe(pause.boot_time()):
                 await self.wake()
 
+    def _note_required(self) -> None:
+        for model in self._view.namings.models():
+            required = self._required(model)
+            if required > self._noted.get(model, 0):
+                self._noted[model] = required
+                journal.info('version.required', model=model, version=required)
+
     async def wake(self) -> None:
         """Refresh what is old after this process stood still."""
         journal.warning('process.woke', in_flight=self._door.in_flight)
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -27,7 +27,7 @@
         store: depot.Depot,
         clock: Callable[[], float],
     ) -> None:
-        """Tell over the links of an entry what its view holds."""
+        """Tell over the links of an entry what its view holds, by its clock."""
         self._view = seen
         self._links = links
         self._depot = store
@@ -99,21 +99,23 @@
         conf = self._view.configuration
         if conf is None or conf.origin is None:
             return []
-        ages_s = self._view.named_ages()
         goals = []
         for service in conf.services.values():
             engine = service.engine
             if engine is None:
                 continue
             for model in engine.models:
-                version = max(FIRST_VERSION, self._view.newest(model))
+                named = self._view.namings
+                version = max(FIRST_VERSION, named.newest(model))
+                naming = named.of(pieces.Version(model, version))
                 goal = wire.Goal(
                     model,
                     version,
-                    ages_s.get(f'{model}@{version}', 0.0),
+                    0.0 if naming is None else self._clock() - naming.named_at,
                     conf.origin.address,
                     self.origin_region(),
                     layer_count=engine.layer_count,
+                    age_known=naming is not None and naming.is_known,
                 )
                 goals.append((service.name, goal))
         return goals
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -10,7 +10,7 @@
 from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import area, depot, fetches, pieces
+from primrosesaddle.staging import area, depot, fetches, namings, pieces
 from primrosesaddle.telemetry import journal
 
 __all__ = ('Engine', 'EngineState', 'Goal', 'Keeper', 'make_goal')
@@ -57,14 +57,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Goal:
-    """The version to hold; `named_at` is of this process's clock.
+    """The version to hold, and when it was named.
 
     `place` is this server's, from 0 to 1, in the order in which servers switch;
     `part` is the part of the layers that it loads first while it holds none.
     """
 
     version: pieces.Version
-    named_at: float
+    naming: namings.Naming
     place: float = 0.0
     layer_count: int = 0
     part: int = 0
@@ -134,13 +134,22 @@
             if goal.version.number < newest.version.number:
                 return
             if goal.version == newest.version:
-                named_at = min(goal.named_at, newest.named_at)
-                self._goals[-1] = dataclasses.replace(goal, named_at=named_at)
+                naming = namings.better(newest.naming, goal.naming)
+                self._goals[-1] = dataclasses.replace(goal, naming=naming)
                 return
         journal.info('goal.set', version=goal.version.mark)
         self._goals.append(goal)
         self._goals = self._goals[-KEPT_GOALS:]
 
+    def known_ages_s(self) -> dict[str, float]:
+        """Return how long ago the wanted versions were named, where known."""
+        now = self._clock()
+        return {
+            goal.version.mark: round(now - goal.naming.named_at, 3)
+            for goal in self._goals
+            if goal.naming.is_known
+        }
+
     def look_again(self) -> None:
         """Tell the entries anew, as when one has just joined."""
         self._told = None
@@ -233,7 +242,7 @@
 
     def _turn(self, goal: Goal) -> float:
         """Return when this server may switch, in its turn before the bound."""
-        last = goal.named_at + self._bound_s - LAST_TURN_MARGIN_S
+        last = goal.naming.named_at + self._bound_s - LAST_TURN_MARGIN_S
         spread_s = max(0.0, last - self._area.ended_at)
         return self._area.ended_at + spread_s * goal.place
 
@@ -260,7 +269,7 @@
             first=span.first,
             end=span.end,
             accepted=accepted,
-            age_s=round(self._clock() - goal.named_at, 3),
+            age_s=round(self._clock() - goal.naming.named_at, 3),
         )
         if not accepted:
             self._order = None
@@ -334,5 +343,5 @@
     version: pieces.Version, told: wire.Goal, clock: Callable[[], float]
 ) -> Goal:
     """Return the goal that an entry told."""
-    named_at = clock() - told.age_s
-    return Goal(version, named_at, told.place, told.layer_count, told.part)
+    naming = namings.Naming(clock() - told.age_s, told.age_known)
+    return Goal(version, naming, told.place, told.layer_count, told.part)
--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -13,6 +13,8 @@
     (
         'configuration.adopted',
         'version.named',
+        'version.age',
+        'version.required',
         'store.lost',
         'store.regained',
         'process.started',
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -384,6 +384,7 @@
         self.servers: list[Server] = []
         self.cfg = _node(self.store.address)
         self.entry: entry.Entry | None = None
+        self._others: list[entry.Entry] = []
         self._calls = 0
 
     async def start(self, *servers: Server, version: int = 1) -> None:
@@ -404,8 +405,22 @@
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
 
+    async def join(self, version_s: float) -> None:
+        """Start one more entry, which takes the calls from now on."""
+        seeds = (self.cfg.listen.peers,)
+        self._others.append(typing.cast(entry.Entry, self.entry))
+        self.cfg = _node(self.store.address)
+        bounds = dataclasses.replace(self.cfg.bounds, version_s=version_s)
+        name = f'entry-{len(self._others) + 1}'
+        self.cfg = dataclasses.replace(self.cfg, name=name, seeds=seeds, bounds=bounds)
+        made = platform_main.make_adapter(self.cfg)
+        self.entry = entry.make_entry(self.cfg, made)
+        await self.entry.start()
+
     async def stop(self) -> None:
         """Stop everything."""
+        for other in self._others:
+            await other.stop()
         if self.entry is not None:
             await self.entry.stop()
         for server in self.servers:
@@ -508,6 +523,7 @@
         retry_extra=100,
         version_s=8,
         directory_ttl_s=5,
+        contact_s=CONTACT_S,
     )
     listen = node.Listen(
         callers=free_address(),
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -397,6 +397,26 @@
     in_fleet(check, server)
 
 
+def test_entry_that_joins_hears_how_old_a_version_is(in_fleet):
+    """It refuses an older version as soon as the entries that were there before."""
+    server = stand.Server('a', stand.stream(3))
+
+    async def check(fleet):
+        fleet.store.put('op/config', stand.configuration(2, services=[stand.ENGINES]))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        fleet.store.put(
+            f'op/version/{stand.MODEL}', {'model': stand.MODEL, 'version': 2}
+        )
+        await asyncio.sleep(1.5)
+        await fleet.join(version_s=2.0)
+        await fleet.until(lambda: fleet.known_servers())
+        await asyncio.sleep(0.5)
+        got = await fleet.call('/chat/1', headers={'X-Model': stand.MODEL})
+        _same((got.status, server.seen), (503, []))
+
+    in_fleet(check, server)
+
+
 def test_kept_connection_that_fell_silent_is_left(in_fleet):
     """A call on it goes on at another server within its time."""
     servers = [stand.Server('a'), stand.Server('b')]
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -151,8 +151,10 @@
     return run
 
 
-def _goal(number, age_s=0.0, place=0.0, part=0):
-    told = wire.Goal(MODEL, number, age_s, 'origin', 'region-1', place, LAYERS, part)
+def _goal(number, age_s=0.0, place=0.0, part=0, **changes):
+    told = wire.Goal(
+        MODEL, number, age_s, 'origin', 'region-1', place, LAYERS, part, **changes
+    )
     clock = asyncio.get_running_loop().time
     return keeper.make_goal(pieces.Version(MODEL, number), told, clock)
 
@@ -258,6 +260,20 @@
     in_keeper(check, engine, origin)
 
 
+def test_known_age_of_a_goal_goes_before_an_assumed_one(in_keeper):
+    """An entry that has just started does not hurry an agent that knows better."""
+    engine = FakeEngine(1)
+
+    async def check(kept, told):
+        kept.aim(_goal(2, 5.0, age_known=False))
+        _same(kept.known_ages_s(), {})
+        kept.aim(_goal(2, 0.5))
+        kept.aim(_goal(2, 6.0, age_known=False))
+        assert 0.5 <= kept.known_ages_s()[f'{MODEL}@2'] < 1.5
+
+    in_keeper(check, engine, FakeOrigin(), bound_s=8.0)
+
+
 def test_older_goal_is_ignored(in_keeper):
     """A late message does not bring an older version back."""
     engine = FakeEngine()
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -28,7 +28,7 @@
 @pytest.fixture
 def seen(clock):
     """Return an empty view."""
-    return view.View(records.decode, clock)
+    return view.View(records.decode, clock, 5.0)
 
 
 def _server(name, revision, **changes):
@@ -116,22 +116,69 @@
 
 def test_required_version_follows_the_age(seen, clock):
     """A named version is required from the bound on, each from its own naming."""
+    seen.replace(view.Snapshot([], 1), 'store')
     seen.apply(view.Changes([_version(2, 4)], 4), 'store')
     clock.now += 2
     seen.apply(view.Changes([_version(3, 5)], 5), 'store')
-    _same((seen.newest('m'), seen.required('m', 8.0)), (3, 0))
+    _same((seen.namings.newest('m'), seen.namings.required('m', 8.0)), (3, 0))
     clock.now += 6.5
-    _same(seen.required('m', 8.0), 2)
+    _same(seen.namings.required('m', 8.0), 2)
     clock.now += 2
-    _same(seen.required('m', 8.0), 3)
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_version_that_the_first_read_finds_is_taken_for_an_older_one(seen, clock):
+    """It is required after what is left of the bound, if no peer knows its age."""
+    seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
+    _same(seen.namings.required('m', 8.0), 0)
+    clock.now += 3.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_version_that_a_later_read_finds_is_new(seen, clock):
+    """A process that was in step before takes what it finds for newly named."""
+    seen.replace(view.Snapshot([], 1), 'store')
+    seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
+    clock.now += 7.9
+    _same(seen.namings.required('m', 8.0), 0)
+    clock.now += 0.1
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_known_age_goes_before_an_assumed_one(seen, clock):
+    """A peer that saw a version named just now spares calls a refusal."""
+    seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
+    seen.namings.hear({'m@3': 0.5})
+    clock.now += 7.4
+    _same(seen.namings.required('m', 8.0), 0)
+    clock.now += 0.1
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_assumed_age_is_not_told(seen):
+    """Peers hear only what some process saw."""
+    seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
+    _same(seen.namings.known_ages_s(), {})
+    seen.namings.hear({'m@3': 0.5})
+    _same(seen.namings.known_ages_s(), {'m@3': 0.5})
+
+
+def test_age_that_comes_before_the_first_read_is_kept(seen, clock):
+    """A version is required by its age, but only once it is published here."""
+    seen.namings.hear({'m@2': 9.0, 'm@3': 1.0})
+    _same(seen.namings.required('m', 8.0), 0)
+    seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
+    _same(seen.namings.required('m', 8.0), 2)
+    clock.now += 7.0
+    _same(seen.namings.required('m', 8.0), 3)
 
 
 def test_peer_tells_how_old_a_version_is(seen, clock):
     """A process that learns late takes the earlier time of its peer."""
     seen.apply(view.Changes([_version(2, 4)], 4), 'peer')
-    seen.age({'m@2': 7.0})
+    seen.namings.hear({'m@2': 7.0})
     clock.now += 1.5
-    _same(seen.required('m', 8.0), 2)
+    _same(seen.namings.required('m', 8.0), 2)
 
 
 def test_peer_that_is_behind_gets_changes_or_all(seen):
