Take test ports that the kernel gives to no connection

One whole test of a call failed once at its start: bind was refused, as the port was in use, in a run beside two other test runs. A free port was chosen from the kernel's range for outgoing connections and freed again before it was bound, so any connection made meanwhile could take it. Ports are now drawn below that range.

--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import json
+import random
 import socket
 import typing
 from collections.abc import Awaitable, Callable
@@ -34,11 +35,18 @@
 }
 
 
+# Below the ports that the kernel gives to connections, so that none takes a free one.
+PORTS = range(20000, 32000)
+
+
 def free_address() -> str:
     """Return an address on loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as sock:
+            with contextlib.suppress(OSError):
+                sock.bind(('127.0.0.1', port))
+                return f'127.0.0.1:{port}'
 
 
 class Store:
