Do not send a call to a version that became too old meanwhile

The relay now looks again when the connection is open, keeps it, and places the call anew; nothing was sent. The new test had one call at the old server and none at the new one before.

--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -129,6 +129,12 @@
         conn = await self._connect(attempt, call)
         if conn is None:
             return False
+        required = self._required(call)
+        if attempt.choice.version < required:
+            # A newer one became required while the connection was opened.
+            attempt.withdraw(required)
+            self._parts.kept.release(backend.server_id, conn)
+            return False
         attempt.conn = conn
         attempt.sent = True
         if call.tried:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -6,6 +6,7 @@
 from testtools import assertions, matchers
 
 import platformstand as stand
+from primrosesaddle.net import upstream
 
 
 @pytest.fixture
@@ -444,6 +445,40 @@
     in_fleet(check, old, new, version_s=1.2)
 
 
+def test_call_is_not_sent_to_a_version_that_became_too_old(in_fleet, monkeypatch):
+    """A connection may take longer to open than the margin before the bound."""
+    old = stand.Server('old', stand.stream(3))
+    new = stand.Server('new', stand.stream(3))
+    dial = upstream.dial
+
+    async def slow_dial(address):
+        if address == old.address:
+            await asyncio.sleep(0.6)
+        return await dial(address)
+
+    monkeypatch.setattr(upstream, 'dial', slow_dial)
+
+    async def check(fleet):
+        fleet.store.put('op/config', stand.configuration(2, services=[stand.ENGINES]))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        fleet.store.put('servers/i-new', new.record(models=[]))
+        await fleet.until(lambda: not _holds(fleet, 'i-new'))
+        fleet.store.put(
+            f'op/version/{stand.MODEL}', {'model': stand.MODEL, 'version': 2}
+        )
+        await asyncio.sleep(0.8)
+        call = asyncio.create_task(
+            fleet.call('/chat/1', headers={'X-Model': stand.MODEL})
+        )
+        await asyncio.sleep(0.2)
+        models = [{'name': stand.MODEL, 'version': 2, 'adapters': []}]
+        fleet.store.put('servers/i-new', new.record(models=models))
+        got = await call
+        _same((got.status, len(old.seen), len(new.seen)), (200, 0, 1))
+
+    in_fleet(check, old, new, version_s=2.0)
+
+
 def _holds(fleet, server_id):
     return fleet.entry.table.get(server_id).record.models
 
