--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -36,13 +36,14 @@
 
 
 # Below the ports that the kernel gives to connections, so that none takes a free one.
-PORTS = range(20000, 32000)
+_PORTS = range(20000, 32000)
+_ports = iter(random.sample(_PORTS, len(_PORTS)))
 
 
 def free_address() -> str:
     """Return an address on loopback that is free now."""
     while True:
-        port = random.choice(PORTS)
+        port = next(_ports)
         with socket.socket() as sock:
             with contextlib.suppress(OSError):
                 sock.bind(('127.0.0.1', port))
