Count an age as known only where a process saw the version named

An age counted as known whenever the process had read anything before, so an assumed age became a known one, of zero, in three ways: an entry that was in step pulled the version from a peer that assumed its age; an entry that had stood still read on waking what had been named meanwhile; the first read of the store came after the records of a peer that lagged behind. Peers took that age in place of what they assumed, and would have let calls begin on an older version for the whole bound.

A known age is the lower bound that a process saw for itself. It is one only for what the store told after an earlier read, without a pause right before. After a pause the age that is assumed is no longer than the pause. Ages are heard before the items that come with them. An entry that sees a version named tells all entries that it is linked to at once, so that those that assume wait for no round. An age in a message that does not say so counts as assumed.

--- a/bench/naive/naive.py
+++ b/bench/naive/naive.py
@@ -95,7 +95,7 @@
 async def serve(cfg: node.Node, made: adapter.Adapter) -> None:
     """Serve callers at one entry, until the process is ended."""
     clock = asyncio.get_running_loop().time
-    seen = view.View(made.decode, clock)
+    seen = view.View(made.decode, clock, 0.0)
     follow = reader.Reader(made.source, seen, random.Random(), clock)
     door = doorway.Doorway(seen, NaiveRelay(seen, made.wire))
     front = made.front
--- a/src/primrosesaddle/core/pause.py
+++ b/src/primrosesaddle/core/pause.py
@@ -1,18 +1,11 @@
 """Detection of a process that stood still, and of messages that grew old meanwhile."""
 
-import time
-
-__all__ = ('PauseDetector', 'boot_time')
+__all__ = ('PauseDetector',)
 
 TICK_S = 0.1
 PAUSE_S = 1.0
 
 
-def boot_time() -> float:
-    """Return the seconds since boot, those in which the machine slept included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class PauseDetector:
     """Notice, from gaps in a monotonic clock, that this process stood still."""
 
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -44,6 +44,7 @@
             board.on(wire.PullItems, self._answer_pull)
             board.on(wire.NamedAges, self._take_ages)
             self.ages_s = seen.namings.known_ages_s
+            seen.namings.learned.append(self._tell_all_ages)
             board.watch = self._saw_revision
             board.revision = lambda: seen.revision
 
@@ -99,6 +100,10 @@
         if peer.card.role == 'entry':
             self._tell_ages(peer)
 
+    def _tell_all_ages(self) -> None:
+        for peer in self.mates.alive('entry'):
+            self._tell_ages(peer)
+
     def _tell_ages(self, peer: peers.Peer) -> None:
         ages_s = self.ages_s()
         if ages_s:
@@ -151,12 +156,13 @@
             self._take_items(seen, body, name)
 
     def _take_items(self, seen: view.View, body: wire.Items, name: str) -> None:
+        # Before the items, so that a version among them has an age at once.
+        seen.namings.hear(body.named_ages_s)
         items = [view.Item(*row) for row in body.items]
         if body.whole:
             seen.replace(view.Snapshot(items, body.revision), name)
         else:
             seen.apply(view.Changes(items, body.revision), name)
-        seen.namings.hear(body.named_ages_s)
 
     def _answer_pull(
         self, channel: link.Channel, rid: int, body: wire.PullItems
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -67,13 +67,13 @@
         except call.CallFailed as exc:
             journal.info('store.not_refreshed', error=str(exc))
             return
-        self._view.replace(snapshot, 'store')
+        self._view.replace(snapshot, view.STORE)
 
     async def _step(self) -> None:
         if self._after is None:
             snapshot = await self._source.read_all()
             self._note_success()
-            self._view.replace(snapshot, 'store')
+            self._view.replace(snapshot, view.STORE)
             self._after = snapshot.revision
             journal.info(
                 'store.read', items=len(snapshot.items), revision=snapshot.revision
@@ -85,7 +85,7 @@
             journal.info('store.history_gone', after=self._after)
             self._after = None
             return
-        self._view.apply(changes, 'store')
+        self._view.apply(changes, view.STORE)
         self._after = max(self._after, changes.revision)
 
     @property
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -1,5 +1,6 @@
 """The view: what this process believes of all that is published."""
 
+import math
 import typing
 from collections.abc import Callable
 
@@ -18,6 +19,10 @@
 # Records that lapsed in an outage are missing from what is read first after it. A
 # server that is removed later than this has left by itself.
 LAPSE_SEEN_S = 0.3
+# Without a sweep for this long the process stood still. What it reads within as long
+# after that may have been published meanwhile.
+GAP_S = 0.8
+STORE = 'store'  # the source of what was read from the store itself
 # Tombstones that are kept for peers that ask for changes past a revision.
 HISTORY = 512
 
@@ -55,11 +60,12 @@
         self,
         decode: Decode,
         clock: Callable[[], float],
-        assumed_age_s: float = 0.0,
+        assumed_age_s: float,
     ) -> None:
         """Create an empty view over a function that decodes items.
 
-        `assumed_age_s` is the age taken for a version that is found already named.
+        `assumed_age_s` is the most that is assumed of the age of a version that was
+        named while this process did not look.
         """
         self._decode = decode
         self._clock = clock
@@ -69,6 +75,10 @@
         self._store_returned_at = -LAPSE_GRACE_S
         self._server_keys: dict[str, str] = {}
         self._history_from = 0
+        self._has_read_store = False
+        self._swept_at: float | None = None
+        self._gap_s = 0.0
+        self._gap_until = 0.0
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
         self.namings = namings.Namings(clock, assumed_age_s)
@@ -93,6 +103,7 @@
         for item in changes.items:
             changed = self._take(item, source) or changed
         self.revision = max(self.revision, changes.revision)
+        self._has_read_store = self._has_read_store or source == STORE
         if changed:
             self._tell()
 
@@ -118,6 +129,7 @@
     def sweep(self) -> None:
         """Drop the servers whose records lapsed and did not come back in time."""
         now = self._clock()
+        self._note_gap(now)
         due = [key for key, until in self._lapsing.items() if now >= until]
         for key in due:
             self._lapsing.pop(key)
@@ -199,9 +211,8 @@
         self, record: servers.WantedVersion, item: Item, source: str
     ) -> bool:
         version = pieces.Version(record.model, record.version)
-        # The first read finds what was named at any time before.
-        is_new = self.revision > 0
-        if not self.namings.learn(version, is_new=is_new):
+        unseen_s = self._unseen_s(source)
+        if not self.namings.learn(version, unseen_s):
             return False
         journal.info(
             'version.named',
@@ -209,10 +220,25 @@
             version=record.version,
             revision=item.revision,
             source=source,
-            new=is_new,
+            known=not unseen_s,
         )
         return True
 
+    def _unseen_s(self, source: str) -> float:
+        """Return how long what a source tells may have been published unseen."""
+        if source != STORE or not self._has_read_store:
+            return math.inf
+        gap_s = 0.0 if self._swept_at is None else self._clock() - self._swept_at
+        return gap_s if gap_s > GAP_S else self._gap_s
+
+    def _note_gap(self, now: float) -> None:
+        if self._swept_at is not None and now - self._swept_at > GAP_S:
+            self._gap_s = now - self._swept_at
+            self._gap_until = now + GAP_S
+        elif now >= self._gap_until:
+            self._gap_s = 0.0
+        self._swept_at = now
+
     def _remove(self, item: Item, source: str) -> bool:
         self._items.pop(item.key, None)
         self._removed[item.key] = item
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -266,7 +266,7 @@
     place: float = 0.0
     layer_count: int = 0
     part: int = 0
-    age_known: bool = True
+    age_known: bool = False
 
 
 class NamedAges(msgspec.Struct, tag=26, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from primrosesaddle.core import kernel, pause
+from primrosesaddle.core import clocks, kernel
 from primrosesaddle.fleet import mesh, node
 from primrosesaddle.membership import link, peers, wire
 from primrosesaddle.process import adapter, listen
@@ -49,7 +49,7 @@
                 cfg.bounds.version_s,
                 self._tell,
                 lambda: len(self._mesh.mates.alive('entry')),
-                pause.boot_time,
+                clocks.boot_time,
             )
             self._mesh.ages_s = self._keeper.known_ages_s
         self._mesh.board.on(wire.Goal, self._take_goal)
@@ -108,7 +108,7 @@
             self._origin = self._adapter.origin(body.origin)
         if self._keeper is not None:
             version = pieces.Version(body.model, body.version)
-            self._keeper.aim(keeper.make_goal(version, body, pause.boot_time))
+            self._keeper.aim(keeper.make_goal(version, body, clocks.boot_time))
 
 
 def make_agent(cfg: node.Node, made: adapter.Adapter) -> Agent:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -14,7 +14,7 @@
     relay,
     routes,
 )
-from primrosesaddle.core import kernel, layers, pause
+from primrosesaddle.core import clocks, kernel, layers, pause
 from primrosesaddle.fleet import mesh, node, reader, view
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
@@ -51,7 +51,7 @@
         # What was named before this process looked must be in force here by the
         # time that others count it as in touch.
         assumed_age_s = max(0.0, cfg.bounds.version_s - cfg.bounds.contact_s)
-        self._view = view.View(made.decode, pause.boot_time, assumed_age_s)
+        self._view = view.View(made.decode, clocks.boot_time, assumed_age_s)
         self._metrics = metrics.make_metrics()
         self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self._mesh.ready = lambda: self.ready
@@ -75,7 +75,7 @@
             ),
             self._rand,
         )
-        self._goals = goals.Goals(self._view, self._mesh, self._depot, pause.boot_time)
+        self._goals = goals.Goals(self._view, self._mesh, self._depot, clocks.boot_time)
         self._mesh.mates.joined.append(self._goals.tell)
         self._mesh.board.on(wire.ServerState, self._hear_server)
         self._mesh.board.on(wire.Want, self._depot.serve)
@@ -242,12 +242,12 @@
             self._queue.pump(service)
 
     async def _sweep(self) -> None:
-        pauses = pause.PauseDetector(pause.boot_time())
+        pauses = pause.PauseDetector(clocks.boot_time())
         while True:
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
             self._note_required()
-            if pauses.observe(pause.boot_time()):
+            if pauses.observe(clocks.boot_time()):
                 await self.wake()
 
     def _note_required(self) -> None:
--- a/src/primrosesaddle/staging/namings.py
+++ b/src/primrosesaddle/staging/namings.py
@@ -16,7 +16,8 @@
 class Naming:
     """When a version was named, by a clock of this process, in seconds.
 
-    `is_known` is false for an assumed time: nobody has told yet who saw it named.
+    `is_known` is false for an assumed time: this process did not see the version
+    named, and none that did has told it yet.
     """
 
     named_at: float
@@ -24,7 +25,11 @@
 
 
 def better(first: Naming, second: Naming) -> Naming:
-    """Return which of two namings of a version to go by: a known, an earlier one."""
+    """Return which of two namings of a version to go by.
+
+    A known one goes before an assumed one, which may be far too old. Of two known
+    ones the earlier is closer to the truth, as whoever saw it named saw it late.
+    """
     if first.is_known != second.is_known:
         return first if first.is_known else second
     return min(first, second, key=lambda naming: naming.named_at)
@@ -36,32 +41,38 @@
     def __init__(self, clock: Callable[[], float], assumed_age_s: float) -> None:
         """Create an empty record.
 
-        `assumed_age_s` is the age taken for a version that was named before this
-        process looked. The clock must go on while the machine is suspended.
+        `assumed_age_s` is the most that is assumed of the age of a version that was
+        named while this process did not look. The clock must go on while the machine
+        is suspended. `learned` is called when this process saw a version named.
         """
         self._clock = clock
         self._assumed_age_s = assumed_age_s
-        self._published: dict[str, int] = {}
-        self._found: dict[str, dict[int, Naming]] = collections.defaultdict(dict)
+        self._newest: dict[str, int] = {}
+        self._named: dict[str, dict[int, Naming]] = collections.defaultdict(dict)
+        self.learned: list[Callable[[], None]] = []
 
     def newest(self, model: str) -> int:
         """Return the newest published version of a model, 0 when there is none."""
-        return self._published.get(model, 0)
+        return self._newest.get(model, 0)
 
     def models(self) -> list[str]:
         """Return the models of which a version is published."""
-        return list(self._published)
+        return list(self._newest)
 
-    def learn(self, version: pieces.Version, *, is_new: bool) -> bool:
+    def learn(self, version: pieces.Version, unseen_s: float) -> bool:
         """Take a version that is published, and return whether it is the newest.
 
-        `is_new` tells that it has just been named, in place of some time ago.
+        `unseen_s` is how long this process had not looked before; 0 if it saw the
+        version named.
         """
         if version.number <= self.newest(version.model):
             return False
-        self._published[version.model] = version.number
-        age_s = 0.0 if is_new else self._assumed_age_s
-        self._take(version, Naming(self._clock() - age_s, is_known=is_new))
+        self._newest[version.model] = version.number
+        age_s = min(unseen_s, self._assumed_age_s)
+        self._take(version, Naming(self._clock() - age_s, is_known=not unseen_s))
+        if not unseen_s:
+            for listener in self.learned:
+                listener()
         return True
 
     def hear(self, ages_s: Mapping[str, float]) -> None:
@@ -78,14 +89,14 @@
 
     def of(self, version: pieces.Version) -> Naming | None:
         """Return when a version was named, or None for one that is not."""
-        return self._found.get(version.model, {}).get(version.number)
+        return self._named.get(version.model, {}).get(version.number)
 
     def known_ages_s(self) -> dict[str, float]:
         """Return how long ago each version was named, by its mark, where known."""
         now = self._clock()
         return {
             pieces.Version(model, number).mark: round(now - naming.named_at, 3)
-            for model, found in self._found.items()
+            for model, found in self._named.items()
             for number, naming in found.items()
             if naming.is_known
         }
@@ -96,7 +107,7 @@
         `bound_s` is the age in seconds from which a named version is required.
         """
         now = self._clock()
-        found = self._found.get(model, {})
+        found = self._named.get(model, {})
         old = [
             number
             for number, naming in found.items()
@@ -105,13 +116,16 @@
         return max(old, default=0)
 
     def _take(self, version: pieces.Version, told: Naming) -> None:
-        found = self._found[version.model]
+        found = self._named[version.model]
         held = found.get(version.number)
         if held is not None and better(held, told) is held:
             return
+        if len(found) >= MAX_VERSIONS and held is None:
+            oldest = min(found)
+            if version.number < oldest:
+                return
+            found.pop(oldest)
         found[version.number] = told
-        while len(found) > MAX_VERSIONS:
-            found.pop(min(found))
         if held is None or not held.is_known:
             journal.info(
                 'version.age',
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -267,7 +267,7 @@
     async def check(kept, told):
         kept.aim(_goal(2, 5.0, age_known=False))
         _same(kept.known_ages_s(), {})
-        kept.aim(_goal(2, 0.5))
+        kept.aim(_goal(2, 0.5, age_known=True))
         kept.aim(_goal(2, 6.0, age_known=False))
         assert 0.5 <= kept.known_ages_s()[f'{MODEL}@2'] < 1.5
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -145,6 +145,47 @@
     _same(seen.namings.required('m', 8.0), 3)
 
 
+def test_assumed_age_does_not_become_known_through_a_peer(seen, clock):
+    """A process that was in step, but hears of a version from a peer, assumes too."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'store')
+    clock.now += 60
+    seen.apply(view.Changes([_version(3, 9)], 9), 'peer')
+    _same(seen.namings.known_ages_s(), {})
+    clock.now += 3.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_process_that_stood_still_does_not_see_a_version_named(seen, clock):
+    """What is read right after a pause may be as old as the pause is long."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'store')
+    seen.sweep()
+    clock.now += 4.0
+    seen.apply(view.Changes([_version(3, 9)], 9), 'store')
+    _same(seen.namings.known_ages_s(), {})
+    clock.now += 4.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
+def test_refresh_after_a_pause_does_not_see_a_version_named(seen, clock):
+    """The whole read that follows the first sweep after a pause tells no age either."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'store')
+    seen.sweep()
+    clock.now += 4.0
+    seen.sweep()
+    clock.now += 0.1
+    seen.replace(view.Snapshot([_version(3, 9)], 9), 'store')
+    _same(seen.namings.known_ages_s(), {})
+
+
+def test_first_read_of_the_store_after_a_peer_told_is_no_sight(seen, clock):
+    """A peer that lags behind does not make the first read a later one."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'peer')
+    clock.now += 0.02
+    seen.replace(view.Snapshot([_version(3, 9)], 9), 'store')
+    clock.now += 3.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
 def test_known_age_goes_before_an_assumed_one(seen, clock):
     """A peer that saw a version named just now spares calls a refusal."""
     seen.replace(view.Snapshot([_version(3, 4)], 9), 'store')
