Pass over a peer's answer that the store has overtaken

An entry that starts asks a peer for what is published and reads the store at the same time. When the store's answer comes first, a later one of a peer that lags brings back a server that was removed in between: its removal lies before the store's revision, so the watch never tells it. Calls would go to a server that is gone, or to another one at its address.

What a peer tells up to an earlier revision than the view's is passed over now. The new test held the removed server before.

--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -98,7 +98,13 @@
         self.apply(Changes([*snapshot.items, *absent], snapshot.revision), source)
 
     def apply(self, changes: Changes, source: str) -> None:
-        """Take changes; `source` says where they came from, for the log."""
+        """Take changes; `source` says where they came from.
+
+        What a peer tells up to an earlier revision is passed over: it may hold what
+        has been removed since.
+        """
+        if source != STORE and changes.revision < self.revision:
+            return
         changed = False
         for item in changes.items:
             changed = self._take(item, source) or changed
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -62,6 +62,14 @@
     _same((seen.servers['a'].leaving, seen.revision), (True, 5))
 
 
+def test_late_answer_of_a_peer_does_not_bring_back_a_removed_server(seen):
+    """The first read of the store overtook the answer, and told of no removal."""
+    seen.replace(view.Snapshot([_server('b', 41)], 50), 'store')
+    late = view.Changes([_server('a', 40), _server('b', 41)], 45)
+    seen.apply(late, 'peer')
+    _same(sorted(seen.servers), ['b'])
+
+
 def test_removed_server_does_not_come_back(seen):
     """A record from before a removal stays out."""
     seen.apply(view.Changes([_server('a', 4)], 4), 'store')
