Ask entries that leave, and those of other regions, for pieces

Agents got nothing of a version for seconds while entries were restarted in turn. In the incident, agents of the origin's region failed from 27.0 to 30.1 s with `no origin is known`, 10 of 64 pieces missing, and those of a region with one entry from 28.2 to 30.2 s. The entries that held the pieces were leaving, or were in other regions.

Cause: the list of entries that pieces are read from is that of entries ready for callers, so it leaves out those that leave, though they serve until they stop. Without an entry in the origin's region the origin alone was asked, which an agent may not read yet. An entry that leaves also counted itself among the homes, while the others did not: both read its share from the origin.

Entries that leave are now listed as leaving. They are homes only where no entry of their region stays, and every process, the leaving one too, goes by the same list. Without an entry in a region, the homes among those of the origin's region are asked, and without these the homes among all; the origin stays the last.

Evidence: on the code before, with entries that leave kept out of the list as the mesh did, two of the new tests end in `TimeoutError` after 5 s, as digests are never read, and the third in `MismatchError: [0, 0, 1, 2, 2, 3, 4, 5, 5, 6, 6, 7] != [0, 1, 2, 3, 4, 5, 6, 7]`, pieces read twice. test_ordinary_rollout_reads_each_piece_once passes before and after.

--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -71,10 +71,14 @@
 
     def entries(self) -> list[peers.Peer]:
         """Return the other entries that are ready for callers."""
+        return [peer for peer in self.serving() if not peer.leaving]
+
+    def serving(self) -> list[peers.Peer]:
+        """Return the other entries that are ready, or leave and still serve peers."""
         return [
             peer
             for peer in self.mates.alive('entry')
-            if not peer.leaving and READY in peer.live
+            if peer.leaving or READY in peer.live
         ]
 
     def entry_count(self) -> int:
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -85,8 +85,8 @@
 
     def _homes(self) -> list[homes.Peer]:
         found = [
-            homes.Peer(peer.card.name, peer.card.region, peer.channel)
-            for peer in self._mesh.entries()
+            homes.Peer(peer.card.name, peer.card.region, peer.channel, peer.leaving)
+            for peer in self._mesh.serving()
         ]
         if found:
             self._last_entry = self._clock()
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -201,10 +201,11 @@
 
     def _homes(self) -> list[homes.Peer]:
         found = [
-            homes.Peer(peer.card.name, peer.card.region, peer.channel)
-            for peer in self._mesh.entries()
+            homes.Peer(peer.card.name, peer.card.region, peer.channel, peer.leaving)
+            for peer in self._mesh.serving()
         ]
-        return [*found, homes.Peer(self.cfg.name, self.cfg.region, None)]
+        this = homes.Peer(self.cfg.name, self.cfg.region, None, self._door.leaving)
+        return [*found, this]
 
     def _hear_server(
         self, channel: link.Channel, rid: int, body: wire.ServerState
--- a/src/primrosesaddle/staging/homes.py
+++ b/src/primrosesaddle/staging/homes.py
@@ -18,6 +18,7 @@
     name: str
     region: str
     channel: link.Channel | None
+    leaving: bool = False
 
 
 def is_home(
@@ -28,8 +29,8 @@
     everyone: Sequence[Peer],
 ) -> bool:
     """Tell whether an entry is the home of a piece in its region."""
-    ordered = _ordered(version, index, everyone, region)
-    return bool(ordered) and ordered[0].name == name
+    homes = _homes(version, index, _within(everyone, region))
+    return bool(homes) and homes[0].name == name
 
 
 def upstreams(
@@ -43,15 +44,16 @@
     """Return where a process in a region reads a piece, in order.
 
     A home reads from the origin when it is in its region, else from the homes
-    there; every other process reads from the homes of its own region.
+    there; every other process reads from the homes of its own region. Without an
+    entry in a region, the homes among all entries take the place of its homes.
     """
-    mine = _ordered(version, index, everyone, region)
-    if mine and mine[0].name != name:
-        return [*[peer for peer in mine if peer.name != name][:ASKED], origin]
-    if not mine or region != origin.region:
-        near = _ordered(version, index, everyone, origin.region)
-        return [*near[:ASKED], origin]
-    return [origin]
+    homes = _homes(version, index, _within(everyone, region))
+    if not homes or homes[0].name == name:
+        near = _within(everyone, origin.region) or everyone
+        homes = _homes(version, index, near)
+    if homes and homes[0].name == name:
+        return [origin]
+    return [*[peer for peer in homes if peer.name != name][:ASKED], origin]
 
 
 def in_turn(count: int) -> list[int]:
@@ -60,9 +62,19 @@
     return sorted(range(count), key=lambda index: (index % stride, index))
 
 
+def _within(everyone: Sequence[Peer], region: str) -> list[Peer]:
+    return [peer for peer in everyone if peer.region == region]
+
+
+def _homes(version: pieces.Version, index: int, entries: Sequence[Peer]) -> list[Peer]:
+    """Return the entries that stay in order, or all where none stays."""
+    staying = [peer for peer in entries if not peer.leaving]
+    return _ordered(version, index, staying or entries)
+
+
 def _ordered(
-    version: pieces.Version, index: int, everyone: Sequence[Peer], region: str
+    version: pieces.Version, index: int, entries: Sequence[Peer]
 ) -> list[Peer]:
-    by_name = {peer.name: peer for peer in everyone if peer.region == region}
+    by_name = {peer.name: peer for peer in entries}
     ordered = rendezvous.order(f'{version.mark}:{index}', by_name)
     return [by_name[name] for name in ordered]
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -506,3 +506,131 @@
         await _until(lambda: not told[-1].switching and told[-1].models)
 
     in_keeper(check, engine, origin)
+
+
+class FakeChannel:
+    """A channel to the depot of an entry in the same loop."""
+
+    def __init__(self, depots, name):
+        self.asked = []
+        self._depots = depots
+        self._name = name
+        self._waiting = {}
+
+    def send(self, body, rid=0, *, reply=False):
+        self._waiting.pop(rid).set_result(body)
+
+    async def request(self, body, timeout_s):
+        self.asked.append(body)
+        rid = len(self.asked)
+        self._waiting[rid] = asyncio.get_running_loop().create_future()
+        waiting = self._waiting[rid]
+        self._depots[self._name].serve(self, rid, body)
+        return await asyncio.wait_for(waiting, timeout_s)
+
+
+class Fleet:
+    """Depots of entries by region, each of which may leave or be missing."""
+
+    def __init__(self, regions):
+        self.origin = FakeOrigin()
+        self.regions = dict(regions)
+        self.leaving = set()
+        self.depots = {}
+        self.channels = {name: FakeChannel(self.depots, name) for name in regions}
+        self.depots.update((name, self.make(name)) for name in regions)
+
+    def make(self, name):
+        """Return an empty depot of an entry, as after its start."""
+        sources = depot.Sources(self.peers, lambda: self.origin, lambda: 'region-1')
+        return depot.Depot(name, self.regions[name], sources, random.Random(1))
+
+    def agent(self, region):
+        """Return the depot of an agent, which may not read the origin."""
+        sources = depot.Sources(self.peers, lambda: None, lambda: 'region-1')
+        return depot.Depot('agent', region, sources, random.Random(1))
+
+    def peers(self):
+        """Return the entries that run."""
+        return [
+            homes.Peer(name, region, self.channels[name], name in self.leaving)
+            for name, region in self.regions.items()
+        ]
+
+    async def fill(self, version, *names):
+        """Let entries read their pieces of a version."""
+        filled = [self.depots[name].prefetch(version) for name in names]
+        await asyncio.wait_for(asyncio.gather(*filled), 5)
+
+    async def read(self, reader, version):
+        """Let a process read all pieces once, and return which it got."""
+        await asyncio.wait_for(reader.digests(version), 5)
+        reads = [reader.try_piece(version, index) for index in range(PIECES)]
+        found = await asyncio.wait_for(asyncio.gather(*reads), 5)
+        return [index for index, body in enumerate(found) if body]
+
+
+ALL = list(range(PIECES))
+TWO_REGIONS = {
+    'entry-1': 'region-1',
+    'entry-2': 'region-1',
+    'entry-3': 'region-2',
+    'entry-4': 'region-2',
+}
+
+
+def test_agent_reads_on_while_every_entry_of_its_region_leaves():
+    """Entries that leave serve pieces until they stop."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1', 'entry-2': 'region-1'})
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, 'entry-1', 'entry-2')
+        fleet.leaving = {'entry-1', 'entry-2'}
+        _same(await fleet.read(fleet.agent('region-1'), version), ALL)
+        _same(len(fleet.origin.reads), PIECES)
+
+    asyncio.run(main())
+
+
+def test_agent_of_the_origins_region_reads_elsewhere_without_an_entry_there():
+    """Without an entry in the origin's region, those of other regions are asked."""
+
+    async def main():
+        fleet = Fleet(TWO_REGIONS)
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, *TWO_REGIONS)
+        fleet.regions = {'entry-3': 'region-2', 'entry-4': 'region-2'}
+        _same(await fleet.read(fleet.agent('region-1'), version), ALL)
+        _same(len(fleet.origin.reads), PIECES)
+
+    asyncio.run(main())
+
+
+def test_entry_that_leaves_is_no_home_while_another_stays():
+    """The entry that leaves and the one that stays read no piece twice."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1', 'entry-2': 'region-1'})
+        fleet.leaving = {'entry-1'}
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, 'entry-1', 'entry-2')
+        _same(sorted(index for _, index in fleet.origin.reads), ALL)
+
+    asyncio.run(main())
+
+
+def test_ordinary_rollout_reads_each_piece_once():
+    """Each piece leaves the origin once and enters each region once."""
+
+    async def main():
+        fleet = Fleet(TWO_REGIONS)
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, *TWO_REGIONS)
+        _same(sorted(index for _, index in fleet.origin.reads), ALL)
+        entered = [fleet.depots[name].peer_bytes for name in ('entry-3', 'entry-4')]
+        whole = sum(len(_body(version, index)) for index in ALL)
+        digests = len('\n'.join((str(LAYERS), *_digests(version).pieces)))
+        _same(sum(entered), whole + 2 * digests)
+
+    asyncio.run(main())
