Read a piece from whichever entry holds it

Cause: a home in the origin's region had the origin as its only source, and a home that lacked a piece was asked again before anyone else.

A request may now ask only for what is held; it is answered at once and opens no read. A home asks up to two other entries of its region and of up to two other regions in that way before the origin, and an agent up to two others of its region when its home lacks a piece. The likeliest holders come first: the order of homes counts entries that leave, so it starts with those that were homes before a restart. An agent asks no other region while its own has an entry, so each piece still enters a region once. A process that may not read the origin waits 0.1 s after it asked everyone in vain. Digests under which a piece did not fit are never taken from what others hold, as two entries could tell each other the spoilt ones for ever; a test shows it, and fails without this.

Evidence, tests on the code before: the restarted home and the only entry of a region end in `TimeoutError` while the origin is away; the agent gets `[1, 3, 4, 7] != [0, 1, 2, 3, 4, 5, 6, 7]`; the request for what is held and the two that count messages fail as there is no such request. After: 2 and 12 entries a region ask at most 96 times for 8 pieces in three regions, and agents that find their home filled ask no one else.

--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -131,13 +131,15 @@
 class Want(msgspec.Struct, tag=12, array_like=True, frozen=True):
     """Request for one chunk, or for the manifest itself when `index` is -1.
 
-    `begin` and `end` ask for a part of it in bytes; an end of 0 is its end.
+    `begin` and `end` ask for a part of it in bytes; an end of 0 is its end. With
+    `held` it is answered at once from what is held, and nothing is read for it.
     """
 
     manifest: str
     index: int
     begin: int = 0
     end: int = 0
+    held: bool = False
 
 
 class Chunk(msgspec.Struct, tag=13, array_like=True, frozen=True):
--- a/src/primrosesaddle/staging/depot.py
+++ b/src/primrosesaddle/staging/depot.py
@@ -3,7 +3,8 @@
 Every piece has a home among the entries of a region. The homes in the origin's
 region read from the origin, the homes elsewhere from those, and agents from the
 homes in their own region, so that each piece leaves the origin once and enters
-each region once.
+each region once. What a home lacks, as after a restart, other entries are asked
+for if they hold it.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 
 KEPT_VERSIONS = 3  # the newest, the one before, and one that is being superseded
 PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
+HELD_TIMEOUT_S = 0.5  # what is held is answered at once
 RETRY_S = 0.1
 RETRY_CEILING_S = 0.15  # the other side has waited for as long already
 AHEAD = 3  # reads at once of each entry, enough to fill the origin's link
@@ -170,19 +172,32 @@
         if version is None:
             channel.send(wire.Chunk(False, b''), rid, reply=True)
             return
-        try:
-            found = await asyncio.wait_for(
-                self._wanted(version, body.index), SERVE_WAIT_S
-            )
-        except TimeoutError:
-            found = b''
+        if body.held:
+            found = self._holds(version, body.index)
+        else:
+            found = await self._await_wanted(version, body.index)
         part = found[body.begin : body.end or len(found)]
         channel.send(wire.Chunk(bool(found), part), rid, reply=True)
 
+    def _holds(self, version: pieces.Version, index: int) -> bytes:
+        """Return digests or a piece when they are held, else nothing."""
+        if index != MANIFEST:
+            return self._held.get(version, {}).get(index, b'')
+        digests = self._digests.get(version)
+        if digests is None:
+            return b''
+        return '\n'.join((str(digests.layer_count), *digests.pieces)).encode()
+
+    async def _await_wanted(self, version: pieces.Version, index: int) -> bytes:
+        try:
+            return await asyncio.wait_for(self._wanted(version, index), SERVE_WAIT_S)
+        except TimeoutError:
+            return b''
+
     async def _wanted(self, version: pieces.Version, index: int) -> bytes:
         digests = await self.digests(version)
         if index == MANIFEST:
-            return '\n'.join((str(digests.layer_count), *digests.pieces)).encode()
+            return self._holds(version, index)
         if not 0 <= index < len(digests.pieces):
             return b''
         if version in self._filling and self._is_home(version, index):
@@ -249,43 +264,55 @@
             )
 
     async def _read_from(self, version: pieces.Version, index: int) -> bytes:
-        for peer in self._upstreams(version, index):
+        waits = False
+        for peer, held in self._upstreams(version, index):
+            if waits and not held:
+                continue
             if peer.channel is None:
                 return await self._read_origin(version, index)
             try:
-                body = await self._read_peer(peer.channel, version, index)
+                body = await self._read_peer(peer.channel, version, index, held)
             except (TimeoutError, link.ChannelClosed) as exc:
                 journal.info('piece.no_answer', peer=peer.name, error=repr(exc))
                 continue
-            if not body and self._waits_for(version, index):
-                return b''
             if body:
-                self.peer_bytes += len(body)
-                if index == MANIFEST:
-                    layer_count, *found = body.decode().split('\n')
-                    self._keep(version, found, int(layer_count))
+                self._take(version, index, body)
                 return body
+            waits = waits or self._waits_for(version, index, held)
         return b''
 
-    def _waits_for(self, version: pieces.Version, index: int) -> bool:
+    def _take(self, version: pieces.Version, index: int, body: bytes) -> None:
+        """Count what a peer sent, and keep it when it is digests."""
+        self.peer_bytes += len(body)
+        if index == MANIFEST:
+            layer_count, *found = body.decode().split('\n')
+            self._keep(version, found, int(layer_count))
+
+    def _waits_for(self, version: pieces.Version, index: int, held: bool) -> bool:
         """Tell whether a home that lacks a piece is asked again, not passed over."""
+        if held:
+            return False
         key = (version, index)
         self._lacking[key] += 1
         return self._lacking[key] % PASSED_OVER != 0
 
     async def _read_peer(
-        self, channel: link.Channel, version: pieces.Version, index: int
+        self, channel: link.Channel, version: pieces.Version, index: int, held: bool
     ) -> bytes:
-        """Read digests or a piece, block by block, two of them on their way."""
+        """Read digests or a piece, block by block, two of them on their way.
+
+        What may not be held is asked for by its first block alone.
+        """
         found: list[bytes] = []
         ahead: list[asyncio.Task[bytes]] = []
         begin = 0
         try:
             while not found or len(found[-1]) == BLOCK_BYTES:
-                while len(ahead) < self._blocks_ahead:
-                    ask = wire.Want(version.mark, index, begin, begin + BLOCK_BYTES)
+                while len(ahead) < (1 if held and not found else self._blocks_ahead):
+                    end = begin + BLOCK_BYTES
+                    ask = wire.Want(version.mark, index, begin, end, held)
                     ahead.append(asyncio.create_task(_ask(channel, ask)))
-                    begin += BLOCK_BYTES
+                    begin = end
                 found.append(await ahead.pop(0))
         finally:
             for task in ahead:
@@ -295,6 +322,7 @@
     async def _read_origin(self, version: pieces.Version, index: int) -> bytes:
         origin = self._sources.origin()
         if origin is None:
+            await asyncio.sleep(RETRY_S)  # others may have answered at once
             raise call.CallFailed('no origin is known')
         if index == MANIFEST:
             found = await origin.digests(version)
@@ -314,13 +342,17 @@
             self._held.pop(oldest)
             self._digests.pop(oldest, None)
 
-    def _upstreams(self, version: pieces.Version, index: int) -> list[homes.Peer]:
+    def _upstreams(self, version: pieces.Version, index: int) -> list[homes.Source]:
         """Return where to read, in order."""
         origin = homes.Peer('origin', self._sources.origin_region(), None)
         everyone = self._sources.peers()
-        return homes.upstreams(
+        found = homes.upstreams(
             self._name, self._region, origin, version, index, everyone
         )
+        if index == MANIFEST and self._bad[version]:
+            # Entries may have passed spoilt digests on to each other.
+            return [source for source in found if not source.held]
+        return found
 
     def _is_home(self, version: pieces.Version, index: int) -> bool:
         """Tell whether this process is the home of a piece in its region."""
@@ -329,5 +361,6 @@
 
 
 async def _ask(channel: link.Channel, ask: wire.Want) -> bytes:
-    body = await channel.request(ask, PEER_TIMEOUT_S)
+    timeout_s = HELD_TIMEOUT_S if ask.held else PEER_TIMEOUT_S
+    body = await channel.request(ask, timeout_s)
     return body.body if isinstance(body, wire.Chunk) and body.found else b''
--- a/src/primrosesaddle/staging/homes.py
+++ b/src/primrosesaddle/staging/homes.py
@@ -7,9 +7,9 @@
 from primrosesaddle.membership import link
 from primrosesaddle.staging import pieces
 
-__all__ = ('Peer', 'in_turn', 'is_home', 'upstreams')
+__all__ = ('Peer', 'Source', 'in_turn', 'is_home', 'upstreams')
 
-ASKED = 2  # entries of a region that are asked for a piece before the origin is
+ASKED = 2  # entries of each sort that are asked for a piece before the origin is
 
 
 class Peer(typing.NamedTuple):
@@ -21,6 +21,13 @@
     leaving: bool = False
 
 
+class Source(typing.NamedTuple):
+    """Whom to ask for a piece, and whether only for what it holds already."""
+
+    peer: Peer
+    held: bool = False
+
+
 def is_home(
     name: str,
     region: str,
@@ -40,20 +47,32 @@
     version: pieces.Version,
     index: int,
     everyone: Sequence[Peer],
-) -> list[Peer]:
+) -> list[Source]:
     """Return where a process in a region reads a piece, in order.
 
     A home reads from the origin when it is in its region, else from the homes
     there; every other process reads from the homes of its own region. Without an
     entry in a region, the homes among all entries take the place of its homes.
+    Between these, others are asked for what they hold: entries of the region, and
+    those of other regions when no other entry of the region reads the piece.
     """
-    homes = _homes(version, index, _within(everyone, region))
-    if not homes or homes[0].name == name:
-        near = _within(everyone, origin.region) or everyone
-        homes = _homes(version, index, near)
+    mine = _within(everyone, region)
+    homes = _homes(version, index, mine)
+    is_reader = not homes or homes[0].name == name
+    if is_reader:
+        homes = _homes(version, index, _within(everyone, origin.region) or everyone)
     if homes and homes[0].name == name:
-        return [origin]
-    return [*[peer for peer in homes if peer.name != name][:ASKED], origin]
+        homes = []
+    asked = [Source(peer) for peer in homes if peer.name != name]
+    first = asked[:1]
+    last = [*asked[1:ASKED], Source(origin)]
+    known = {name, *(source.peer.name for source in first)}
+    near = _holders(version, index, mine, known)
+    if not is_reader:
+        return [*first, *near, *last]
+    elsewhere = [peer for peer in everyone if peer.region != region]
+    far = _holders(version, index, _firsts(version, index, elsewhere), known)
+    return [*near, *first, *far, *last]
 
 
 def in_turn(count: int) -> list[int]:
@@ -72,6 +91,21 @@
     return _ordered(version, index, staying or entries)
 
 
+def _holders(
+    version: pieces.Version, index: int, entries: Sequence[Peer], known: set[str]
+) -> list[Source]:
+    """Return the entries that are the likeliest to hold a piece, save some."""
+    ordered = _ordered(version, index, entries)
+    others = [peer for peer in ordered if peer.name not in known]
+    return [Source(peer, held=True) for peer in others[:ASKED]]
+
+
+def _firsts(version: pieces.Version, index: int, entries: Sequence[Peer]) -> list[Peer]:
+    """Return the first entry of each region."""
+    ordered = _ordered(version, index, entries)
+    return list({peer.region: peer for peer in reversed(ordered)}.values())
+
+
 def _ordered(
     version: pieces.Version, index: int, entries: Sequence[Peer]
 ) -> list[Peer]:
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -557,6 +557,11 @@
             for name, region in self.regions.items()
         ]
 
+    def asked(self):
+        """Return the requests for what is held of a piece."""
+        wants = [ask for channel in self.channels.values() for ask in channel.asked]
+        return [ask for ask in wants if ask.held and ask.index >= 0]
+
     async def fill(self, version, *names):
         """Let entries read their pieces of a version."""
         filled = [self.depots[name].prefetch(version) for name in names]
@@ -634,3 +639,113 @@
         _same(sum(entered), whole + 2 * digests)
 
     asyncio.run(main())
+
+
+def test_restarted_home_reads_what_another_entry_holds():
+    """An entry that starts again reads no piece anew from the origin."""
+
+    async def main():
+        fleet = Fleet(TWO_REGIONS)
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, *TWO_REGIONS)
+        kept = fleet.regions.pop('entry-1')
+        await fleet.read(fleet.agent('region-1'), version)
+        read = len(fleet.origin.reads)
+        fleet.regions['entry-1'] = kept
+        fleet.depots['entry-1'] = fleet.make('entry-1')
+        fleet.origin.away = True
+        await fleet.fill(version, 'entry-1')
+        _same(len(fleet.origin.reads), read)
+
+    asyncio.run(main())
+
+
+def test_only_entry_of_a_region_reads_what_other_regions_hold():
+    """What no entry of the region holds is read elsewhere before the origin."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1', 'entry-3': 'region-2'})
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, 'entry-1', 'entry-3')
+        fleet.depots['entry-1'] = fleet.make('entry-1')
+        fleet.origin.away = True
+        await fleet.fill(version, 'entry-1')
+        _same(len(fleet.origin.reads), PIECES)
+
+    asyncio.run(main())
+
+
+def test_agent_gets_what_another_entry_holds_while_the_home_lacks_it():
+    """An entry that started again and cannot read yet holds no agent up."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1', 'entry-2': 'region-1'})
+        version = pieces.Version(MODEL, 1)
+        fleet.leaving = {'entry-1'}
+        await fleet.fill(version, 'entry-2')
+        agent = fleet.agent('region-1')
+        await agent.digests(version)
+        fleet.leaving = set()
+        fleet.origin.away = True
+        alone = depot.Sources(list, lambda: fleet.origin, lambda: 'region-1')
+        fleet.depots['entry-1'] = depot.Depot(
+            'entry-1', 'region-1', alone, random.Random(1)
+        )
+        _same(await fleet.read(agent, version), ALL)
+
+    asyncio.run(main())
+
+
+def test_nothing_is_read_for_a_peer_that_wants_what_is_held():
+    """What is not held is answered at once, and opens no read."""
+
+    async def main():
+        origin = FakeOrigin()
+        made = _depot(origin)
+        version = pieces.Version(MODEL, 1)
+        asker = Asker()
+        for index in (depot.MANIFEST, 0):
+            made.serve(asker, 1, wire.Want(version.mark, index, held=True))
+        await asyncio.sleep(0)
+        _same(asker.answers, [False, False])
+        await made.digests(version)
+        await made.piece(version, 0)
+        for index in (depot.MANIFEST, 0, 1, PIECES):
+            made.serve(asker, 1, wire.Want(version.mark, index, held=True))
+        await asyncio.sleep(0)
+        _same(asker.answers[2:], [True, True, False, False])
+        _same(origin.reads, [(1, 0)])
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize('count', [2, 12])
+def test_messages_of_a_rollout_do_not_grow_with_the_entries(count):
+    """A home asks few others for a piece; an agent asks its home alone."""
+
+    async def main():
+        regions = {
+            f'entry-{number}': f'region-{number % 3 + 1}' for number in range(3 * count)
+        }
+        fleet = Fleet(regions)
+        version = pieces.Version(MODEL, 1)
+        await fleet.fill(version, *regions)
+        _same(sorted(index for _, index in fleet.origin.reads), ALL)
+        asked = fleet.asked()
+        assert len(asked) <= 3 * PIECES * 2 * homes.ASKED
+        _same(await fleet.read(fleet.agent('region-2'), version), ALL)
+        _same(fleet.asked(), asked)
+
+    asyncio.run(main())
+
+
+def test_spoilt_digests_that_entries_told_each_other_are_read_anew():
+    """Digests under which no piece fits are not taken from an entry again."""
+
+    async def main():
+        fleet = Fleet(TWO_REGIONS)
+        fleet.origin.spoilt_digests = 1
+        await fleet.fill(pieces.Version(MODEL, 1), *TWO_REGIONS)
+        _same(sorted({index for _, index in fleet.origin.reads}), ALL)
+
+    asyncio.run(main())
