Take no answer for whole whose connection this side closed

Callers saw a part of an answer as a whole one, signed and with a length to match: 200 with 'half of' where the server had sent so much and fallen silent; a stream ended as complete after its first event.

Cause: an answer without a length ends with its connection. When an attempt is given up, the relay closes the connection, and the reader took that close for the server's.

The new tests failed before with (200, b'half of', True) != (200, b'done', True), and with one event of two in a stream that looked whole. A connection now tells whether this side closed it, and an answer that ends with its connection is whole only if the server closed it without a reset.

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -49,7 +49,10 @@
 
 
 class Connection:
-    """One open connection; `idle_since` is of the event loop's clock."""
+    """One open connection; `idle_since` is of the event loop's clock.
+
+    `was_cut` tells that this side closed it.
+    """
 
     def __init__(self, address: str, stream: Stream) -> None:
         """Wrap a connected stream."""
@@ -58,6 +61,7 @@
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
         self.may_be_kept = True
+        self.was_cut = False
 
     @property
     def usable(self) -> bool:
@@ -69,6 +73,7 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.may_be_kept = False
+        self.was_cut = True
         self.stream.close()
 
 
@@ -129,13 +134,13 @@
                 break
             self._http = _http_on(self._conn.stream)
             self._http.finish()
-        if self._whole and self._until_close:
-            self._conn.close()
-            return Ending.BROKEN if self._was_reset else Ending.WHOLE
-        if not self._whole:
+        # An answer that ends with its connection is whole if the server closed it.
+        whole = self._whole and not (
+            self._until_close and (self._conn.was_cut or self._was_reset)
+        )
+        if self._until_close or not whole:
             self._conn.close()
-            return Ending.BROKEN
-        return Ending.WHOLE
+        return Ending.WHOLE if whole else Ending.BROKEN
 
     def headers_received(
         self,
