Search an event that comes in many parts only once

A server that sends an event without end in small parts took the processor from all calls of the process.

Tests cut events in parts of one to seven bytes with each kind of end.

--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -5,6 +5,7 @@
 __all__ = ('EventCutter',)
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+_LONGEST_END = 4
 _EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -16,7 +17,8 @@
         """Start after an event id."""
         self.last_id = last_id
         self.events = 0
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes, and return the whole events that they complete.
@@ -26,24 +28,29 @@
         self._buffer += chunk
         whole = []
         begin = 0
-        for found in _EVENT_END.finditer(self._buffer):
-            event = self._buffer[begin : found.end()]
+        for found in _EVENT_END.finditer(self._buffer, self._searched):
+            event = bytes(self._buffer[begin : found.end()])
             begin = found.end()
             if self._is_new(event):
                 whole.append(event)
-        self._buffer = self._buffer[begin:]
+        if begin:
+            self._buffer = self._buffer[begin:]
+        # An event that comes in many parts is searched once, not at each part.
+        self._searched = max(0, len(self._buffer) - _LONGEST_END + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError('an event is larger than the bound')
         return b''.join(whole)
 
     def rest(self) -> bytes:
         """Return what is left after the last whole event of a whole stream."""
-        rest, self._buffer = self._buffer, b''
+        rest = bytes(self._buffer)
+        self.restart()
         return rest
 
     def restart(self) -> None:
         """Forget the part of an event whose server broke off."""
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
 
     def _is_new(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,12 +1,13 @@
 """Answers without end: a server in trouble sends bytes until it is cut off."""
 
 import asyncio
+import time
 
 import pytest
 from testtools import assertions, matchers
 
 import platformstand as stand
-from primrosesaddle.calls import patience
+from primrosesaddle.calls import events, patience
 
 OBJECTIVE_MS = 150
 
@@ -92,3 +93,24 @@
         _same((got.status, got.body, got.whole), (200, expected, True))
 
     in_fleet(check, *servers)
+
+
+def test_event_without_end_that_comes_in_small_parts():
+    """The work for it grows with its size, not with its square."""
+    cutter = events.EventCutter()
+    began = time.process_time()
+    for _ in range(8000):
+        cutter.feed(b'data: part of the same event\r\nx')
+    assert time.process_time() - began < 1.0
+    _same(len(cutter.rest()), 8000 * 31)
+
+
+@pytest.mark.parametrize('ending', [b'\n\n', b'\r\n\r\n', b'\n\r\n'])
+@pytest.mark.parametrize('size', [1, 2, 3, 7])
+def test_events_are_cut_the_same_in_parts_of_any_size(ending, size):
+    """An end that comes in two parts is found."""
+    sent = b''.join(b'id: %d\ndata: x' % number + ending for number in range(1, 6))
+    cutter = events.EventCutter(2)
+    parts = [sent[begin : begin + size] for begin in range(0, len(sent), size)]
+    passed_on = b''.join(cutter.feed(part) for part in parts)
+    _same((passed_on, cutter.rest()), (sent[2 * len(sent) // 5 :], b''))
