Count as progress only what has an end in sight

A server that sent bytes slowly and without end kept a call until its time limit: 504, though the call could be repeated and another server was free.

Cause: each part of a body counted as progress, so an attempt was never given up.

A stream makes progress by whole new events alone; an answer that is kept until it is whole, at its head and by a signed body whose length is told. What makes none for the known patience goes on at another server.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -79,7 +79,11 @@
 
 
 class Attempt:
-    """One send of a call to one server."""
+    """One send of a call to one server.
+
+    `moved_at` is when it last made progress: at its head, and at each part of a signed
+    body whose length is told. Other bodies may have no end.
+    """
 
     def __init__(
         self, wire: Wire, call: request.Call, choice: placement.Choice
@@ -97,17 +101,20 @@
         self.conn: upstream.Connection | None = None
         self.body: list[bytes] = []
         self.size = 0
+        self._has_end = False
 
     def on_head(self, head: upstream.Head) -> None:
         """Take the head of the answer; a stream begins at once."""
         self.moved_at = self._clock()
         self.head = self._wire.read_head(head)
+        self._has_end = self.head.signed and 'Content-Length' in head.headers
         if self.head.load is not None:
             self.choice.backend.hear_load(self.head.load, self.moved_at)
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a part of an answer that is passed on when it is whole."""
-        self.moved_at = self._clock()
+        if self._has_end:
+            self.moved_at = self._clock()
         self.size += len(chunk)
         if self.size > MAX_BUFFERED_BYTES:
             raise ValueError('the answer is larger than the bound')
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -198,10 +198,10 @@
             if head is None or not head.signed or head.status >= 300:
                 attempt.on_body(chunk)
                 return None
-            attempt.moved_at = self._clock()
             whole = cutter.feed(chunk)
             if not whole:
                 return None
+            attempt.moved_at = self._clock()
             attempt.choice.backend.note_started(call)
             self._start_stream(attempt, call, sink)
             return sink.write(whole)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,11 +9,89 @@
 import platformstand as stand
 from primrosesaddle.calls import events, patience
 
-OBJECTIVE_MS = 150
+OBJECTIVE_MS = 80
+STALL_S = 0.12  # the servers share the processor with the entry
+MAX_SENT_BYTES = 256 * 1024 * 1024
+MAX_SENDING_S = 6.0
+FAST = 0.0
+SLOW = 0.03
 
 _OK = b'HTTP/1.1 200 OK\r\n'
 _MINE = b'X-Attempt-Id: {id}\r\n'
 _SIGNED = _OK + _MINE + b'X-Response-Seal: seal-1\r\n'
+_REFUSED = b'HTTP/1.1 503 Busy\r\n' + _MINE + b'X-Not-Executed: 1\r\n\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+_OTHER = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: 0000\r\n'
+_PART = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
+_SMALL_PART = b'4\r\nxxxx\r\n'
+
+# Name: what is sent once, and what is sent again and again.
+HEADS = {
+    'noise': (b'', bytes(range(128, 256)) * 32),
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'header lines': (_SIGNED, b'X-More: more\r\n' * 200),
+    'header line': (_SIGNED + b'X-More: ', b'x' * 4096),
+    'empty lines': (b'', b'\r\n' * 2048),
+    'informational heads': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+    'answers to other calls': (b'', _OTHER + b'Content-Length: 2\r\n\r\nno'),
+}
+BODIES = {
+    'body until the close': (_SIGNED + b'\r\n', b'x' * 0x8000),
+    'chunked body': (_SIGNED + _CHUNKED, _PART),
+    'body in small chunks': (_SIGNED + _CHUNKED, _SMALL_PART * 400),
+    'chunk extension': (_SIGNED + _CHUNKED + b'4;', b'x' * 4096),
+    'trailer': (_SIGNED + _CHUNKED + b'0\r\n', b'X-More: more\r\n' * 200),
+    'length beyond any': (
+        _SIGNED + b'Content-Length: 999999999999\r\n\r\n',
+        b'x' * 0x8000,
+    ),
+    'unsigned body': (_OK + _MINE + b'\r\n', b'x' * 0x8000),
+    'body of another call': (_OTHER + b'\r\n', b'x' * 0x8000),
+    'body of a refusal': (_REFUSED, b'x' * 0x8000),
+}
+EVENTS = {
+    'event': (_SIGNED + _CHUNKED, _PART),
+    'event until the close': (_SIGNED + b'\r\n', b'data: x\n' * 400),
+    'old events': (_SIGNED + b'\r\n', b'id: 0\ndata: x\n\n' * 200),
+}
+ANSWERS = HEADS | BODIES | EVENTS
+# Bytes sent slowly, a few at a time.
+TRICKLED = {
+    name: (ANSWERS[name][0], ANSWERS[name][1][:8])
+    for name in ('noise', 'header line', 'body until the close', 'unsigned body')
+} | {
+    'chunked body': (_SIGNED + _CHUNKED, _SMALL_PART),
+    'event until the close': (_SIGNED + b'\r\n', b'data: x\n'),
+    'old events': (_SIGNED + b'\r\n', b'id: 0\ndata: x\n\n'),
+}
+FAST_CASES = [(name, *ANSWERS[name], FAST) for name in ANSWERS]
+SLOW_CASES = [(name, *TRICKLED[name], SLOW) for name in TRICKLED]
+
+
+def _cases(*groups):
+    found = [case for group in groups for case in group]
+    return pytest.mark.parametrize(
+        ('begin', 'unit', 'pause_s'),
+        [case[1:] for case in found],
+        ids=[f'{"slow" if case[3] else "fast"} {case[0]}' for case in found],
+    )
+
+
+def endless(begin, unit, pause_s=FAST):
+    """Return a script that sends bytes until it is cut off."""
+
+    async def run(seen):
+        writer = seen.writer
+        writer.write(begin.replace(b'{id}', seen.request_id.encode()))
+        until = time.monotonic() + MAX_SENDING_S
+        total = len(begin)
+        while total < MAX_SENT_BYTES and time.monotonic() < until:
+            writer.write(unit)
+            await writer.drain()
+            total += len(unit)
+            await asyncio.sleep(pause_s)
+
+    return run
 
 
 def _first(servers, script, sound):
@@ -28,6 +106,17 @@
     return run
 
 
+async def _longest_stall(work):
+    """Run a task, and return its result and the longest wait for the processor."""
+    task = asyncio.ensure_future(work)
+    longest_s = 0.0
+    while not task.done():
+        began = time.monotonic()
+        await asyncio.sleep(0.005)
+        longest_s = max(longest_s, time.monotonic() - began - 0.005)
+    return task.result(), longest_s
+
+
 def _impatient():
     """Return a configuration by which silent attempts are soon given up."""
     found = stand.configuration(2)
@@ -36,11 +125,25 @@
     return found
 
 
+@pytest.fixture(scope='module')
+def loop_runner():
+    """Return a runner of one event loop, in which fleets stop alongside tests."""
+    stopping = []
+    with asyncio.Runner() as runner:
+        yield runner, stopping
+
+        async def rest():
+            await asyncio.gather(*stopping)
+
+        runner.run(rest())
+
+
 @pytest.fixture
-def in_fleet(monkeypatch):
+def in_fleet(monkeypatch, loop_runner):
     """Return a function that runs a check in a fleet that soon gives up."""
-    monkeypatch.setattr(patience, 'STALL_S', 0.3)
-    monkeypatch.setattr(patience, 'STALL_FIRST_S', 0.3)
+    monkeypatch.setattr(patience, 'STALL_S', 0.2)
+    monkeypatch.setattr(patience, 'STALL_FIRST_S', 0.1)
+    runner, stopping = loop_runner
 
     def run(check, *servers):
         async def main():
@@ -51,9 +154,9 @@
                 await fleet.until(lambda: fleet.entry.configuration_version == 2)
                 await check(fleet)
             finally:
-                await fleet.stop()
+                stopping.append(asyncio.ensure_future(fleet.stop()))
 
-        asyncio.run(main())
+        runner.run(main())
 
     return run
 
@@ -114,3 +217,37 @@
     parts = [sent[begin : begin + size] for begin in range(0, len(sent), size)]
     passed_on = b''.join(cutter.feed(part) for part in parts)
     _same((passed_on, cutter.rest()), (sent[2 * len(sent) // 5 :], b''))
+
+
+@_cases(FAST_CASES, SLOW_CASES)
+def test_endless_answer_to_a_call_that_may_be_repeated(in_fleet, begin, unit, pause_s):
+    """The call is answered by another server within its time."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    script = _first(servers, endless(begin, unit, pause_s), stand.answer())
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        got = await fleet.call('/read/1')
+        _same((got.status, got.body), (200, b'done'))
+        _same(sum(len(server.seen) for server in servers), 2)
+        await fleet.until(lambda: sum(server.closed for server in servers) >= 1)
+
+    in_fleet(check, *servers)
+
+
+@_cases(FAST_CASES, SLOW_CASES)
+def test_endless_answer_to_a_stream(in_fleet, begin, unit, pause_s):
+    """The stream is served by another server, each event once."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    script = _first(servers, endless(begin, unit, pause_s), stand.stream(4))
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        got, stall_s = await _longest_stall(fleet.call('/chat/1'))
+        expected = b''.join(stand.event(number) for number in range(1, 5))
+        _same((got.status, got.body, got.whole), (200, expected, True))
+        assert stall_s < STALL_S
+
+    in_fleet(check, *servers)
