--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,8 @@
 from primrosesaddle.calls import events, patience
 
 OBJECTIVE_MS = 80
+LIMIT_MS = 300
+MARGIN_S = 0.3
 STALL_S = 0.12  # the servers share the processor with the entry
 MAX_SENT_BYTES = 256 * 1024 * 1024
 MAX_SENDING_S = 6.0
@@ -219,6 +221,28 @@
     _same((passed_on, cutter.rest()), (sent[2 * len(sent) // 5 :], b''))
 
 
+@_cases(FAST_CASES, SLOW_CASES)
+def test_endless_answer_to_a_call_that_may_run_once(in_fleet, begin, unit, pause_s):
+    """It ends within its time as one that may have run, sent once, cut off."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    for server in servers:
+        server.script = endless(begin, unit, pause_s)
+
+    async def check(fleet):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        got, stall_s = await _longest_stall(fleet.call('/book/1', deadline_ms=LIMIT_MS))
+        assert loop.time() - began < LIMIT_MS / 1000 + MARGIN_S
+        assert got.status in {502, 504}
+        assert b'xxxx' not in got.body
+        assert 'x-response-seal' not in got.headers
+        assert stall_s < STALL_S
+        _same(sum(len(server.seen) for server in servers), 1)
+        await fleet.until(lambda: sum(server.closed for server in servers) == 1)
+
+    in_fleet(check, *servers)
+
+
 @_cases(FAST_CASES, SLOW_CASES)
 def test_endless_answer_to_a_call_that_may_be_repeated(in_fleet, begin, unit, pause_s):
     """The call is answered by another server within its time."""
