Tell in the log why an answer is none

The line of a broken attempt said that it broke, not why: too large, malformed, only answers to other calls, closed early, or given up by this side. An answer or event over its bound was logged by the HTTP library with a stack instead.

The reader of answers keeps the reason; lines of attempts, and the errors of calls to the store, the origin and the engine, name it. A bound raises the error by which the library ends an exchange without a stack.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -97,6 +97,7 @@
         self.moved_at = self.began
         self.head: AnswerHead | None = None
         self.stalled = False
+        self.why_broken = ''
         self.sent = False
         self.conn: upstream.Connection | None = None
         self.body: list[bytes] = []
@@ -117,7 +118,7 @@
             self.moved_at = self._clock()
         self.size += len(chunk)
         if self.size > MAX_BUFFERED_BYTES:
-            raise ValueError('the answer is larger than the bound')
+            raise upstream.NoAnswer('the answer is larger than the bound')
         self.body.append(chunk)
 
     def give_up(self, why: str) -> None:
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+from primrosesaddle.net import upstream
+
 __all__ = ('EventCutter',)
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
@@ -23,7 +25,7 @@
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes, and return the whole events that they complete.
 
-        Raises `ValueError` when an event never ends.
+        Raises `upstream.NoAnswer` when an event never ends.
         """
         self._buffer += chunk
         whole = []
@@ -38,7 +40,7 @@
         # An event that comes in many parts is searched once, not at each part.
         self._searched = max(0, len(self._buffer) - _LONGEST_END + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError('an event is larger than the bound')
+            raise upstream.NoAnswer('an event is larger than the bound')
         return b''.join(whole)
 
     def rest(self) -> bytes:
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -146,6 +146,7 @@
                 call.body,
             )
             ending = await exchange.read()
+            attempt.why_broken = exchange.why
         except asyncio.CancelledError:
             conn.close()
             raise
@@ -334,6 +335,7 @@
             status=head.status if head else 0,
             after_s=round(self._clock() - attempt.began, 3),
             stalled=attempt.stalled,
+            why=attempt.why_broken,
         )
 
     def _log(
--- a/src/primrosesaddle/net/call.py
+++ b/src/primrosesaddle/net/call.py
@@ -76,7 +76,7 @@
             conn.close()
             raise
         if ending is upstream.Ending.BROKEN:
-            raise CallFailed(f'{method} {self.address}: the answer broke off')
+            raise CallFailed(f'{method} {self.address}: {exchange.why}')
         if conn.usable:
             self._keep(conn)
         else:
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -11,7 +11,15 @@
 
 from primrosesaddle.core import addresses, futures
 
-__all__ = ('Connection', 'Ending', 'Exchange', 'Head', 'Unreachable', 'dial')
+__all__ = (
+    'Connection',
+    'Ending',
+    'Exchange',
+    'Head',
+    'NoAnswer',
+    'Unreachable',
+    'dial',
+)
 
 CONNECT_TIMEOUT_S = 1.0  # a healthy path answers within a few round trips
 KEEPALIVE_IDLE_S = 1  # a silent path is found in idle + 2 probes, 3 s in all
@@ -39,6 +47,10 @@
     BROKEN = 'broken'
 
 
+class NoAnswer(httputil.HTTPInputError):
+    """What came in is no answer that can be taken; the text says why."""
+
+
 class Stream(iostream.IOStream):
     """A stream that tells whether bytes came that nobody asked for."""
 
@@ -89,7 +101,8 @@
     """One request and its answer on a connection.
 
     `on_head` and `on_body` are called as the answer comes in; `is_mine` tells an
-    answer to this request from a late one to an earlier request.
+    answer to this request from a late one to an earlier request. `on_body` may raise
+    `NoAnswer`. `why` tells why an answer is not whole.
     """
 
     def __init__(
@@ -108,6 +121,7 @@
         self._stray = False
         self._until_close = False
         self._whole = False
+        self.why = ''
 
     def send(self, method: str, target: str, headers: Pairs, body: bytes) -> None:
         """Send the request whole; the length is added to its headers."""
@@ -125,12 +139,7 @@
     async def read(self) -> Ending:
         """Read the answer to its end, and return whether it is whole."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
-            self._stray = False
-            try:
-                await self._http.read_response(self)
-            except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
-                break
-            if not self._stray:
+            if not (await self._read_one() and self._stray):
                 break
             self._http = _http_on(self._conn.stream)
             self._http.finish()
@@ -138,6 +147,8 @@
         whole = self._whole and not (
             self._until_close and (self._conn.was_cut or self._was_reset)
         )
+        if not whole:
+            self.why = self.why or self._why_broken()
         if self._until_close or not whole:
             self._conn.close()
         return Ending.WHOLE if whole else Ending.BROKEN
@@ -164,7 +175,13 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Take a part of the body."""
-        return None if self._stray else self._on_body(chunk)
+        if self._stray:
+            return None
+        try:
+            return self._on_body(chunk)
+        except NoAnswer as exc:
+            self.why = str(exc)
+            raise
 
     def finish(self) -> None:
         """Note that the answer is whole."""
@@ -173,6 +190,25 @@
     def on_connection_close(self) -> None:
         """Note that the answer broke off."""
 
+    def _why_broken(self) -> str:
+        if self._conn.was_cut:
+            return 'given up'
+        if self._stray:
+            return 'only answers to other calls'
+        error = self._conn.stream.error
+        return 'closed early' if error is None else str(error)
+
+    async def _read_one(self) -> bool:
+        """Read an answer, and return whether it could be read to its end."""
+        self._stray = False
+        try:
+            read = await self._http.read_response(self)
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            return False
+        if not read:
+            self.why = self.why or 'malformed or larger than the bound'
+        return read
+
     @property
     def _was_reset(self) -> bool:
         return self._conn.stream.error is not None
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import logbook
 import pytest
 from testtools import assertions, matchers
 
@@ -163,6 +164,14 @@
     return run
 
 
+@pytest.fixture
+def lines():
+    """Return a function that returns the lines logged so far."""
+    handler = logbook.TestHandler()
+    with handler.applicationbound():
+        yield lambda: [record.message for record in handler.records]
+
+
 def _same(seen, expected):
     assertions.assert_that(seen, matchers.Equals(expected))
 
@@ -243,6 +252,20 @@
     in_fleet(check, *servers)
 
 
+@_cases(FAST_CASES)
+def test_log_tells_why_an_answer_is_none(in_fleet, lines, begin, unit, pause_s):
+    """The line of the attempt gives the reason."""
+    server = stand.Server('a', endless(begin, unit, pause_s))
+
+    async def check(fleet):
+        got = await fleet.call('/book/1', deadline_ms=LIMIT_MS)
+        broken = [line for line in lines() if 'event=attempt.' in line]
+        _same(len(broken), int(got.status == 502))
+        assert all(' why=' in line and 'why=""' not in line for line in broken)
+
+    in_fleet(check, server)
+
+
 @_cases(FAST_CASES, SLOW_CASES)
 def test_endless_answer_to_a_call_that_may_be_repeated(in_fleet, begin, unit, pause_s):
     """The call is answered by another server within its time."""
