--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -362,3 +362,54 @@
         assert 'GET' in str(failed.value)
 
     loop_runner[0].run(check())
+
+
+def _numbered(sent):
+    """Return a script that streams whole events until it is cut off."""
+
+    async def run(seen):
+        head = _SIGNED.replace(b'{id}', seen.request_id.encode()) + b'\r\n'
+        seen.writer.write(head)
+        for number in range(1, 100_000):
+            event = b'id: %d\ndata: %s\n\n' % (number, b'x' * 4096)
+            seen.writer.write(event)
+            await seen.writer.drain()
+            sent.append(len(event))
+            await asyncio.sleep(0)
+
+    return run
+
+
+def test_events_without_end_are_cut_off_visibly(in_fleet):
+    """At the time limit the answer breaks off after whole events, in order."""
+    server = stand.Server('a', _numbered([]))
+
+    async def check(fleet):
+        got = await fleet.call('/chat/1', deadline_ms=LIMIT_MS)
+        _same((got.status, got.whole), (200, False))
+        cutter = events.EventCutter()
+        _same((cutter.feed(got.body), cutter.rest()), (got.body, b''))
+        _same(cutter.events, cutter.last_id)
+        await fleet.until(lambda: server.closed == 1)
+
+    in_fleet(check, server)
+
+
+def test_events_without_end_to_a_caller_that_does_not_read(in_fleet):
+    """The server is read no faster than the caller reads, and cut off in time."""
+    sent = []
+    server = stand.Server('a', _numbered(sent))
+
+    async def check(fleet):
+        tracemalloc.start()
+        try:
+            _, writer = await fleet.open('/chat/1', deadline_ms=1000)
+            await fleet.until(lambda: server.closed == 1)
+            assert tracemalloc.get_traced_memory()[1] < 16 * 1024 * 1024
+        finally:
+            tracemalloc.stop()
+        # What the two connections of the kernel and their buffers take.
+        assert sum(sent) < 64 * 1024 * 1024
+        writer.close()
+
+    in_fleet(check, server)
