--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -7,13 +7,15 @@
 
 from primrosesaddle.calls import placement, request
 from primrosesaddle.core import verdict
-from primrosesaddle.net import upstream
+from primrosesaddle.net import held, upstream
 from primrosesaddle.telemetry import journal
 
 __all__ = ('AnswerHead', 'Attempt', 'Hooks', 'Sink', 'Wire')
 
 # An answer that is kept until it is whole is no larger than this.
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+# All answers that are kept, and events that are not whole, are no larger together.
+MAX_HELD_BYTES = 64 * 1024 * 1024
 
 Hooks = tuple[
     Callable[[upstream.Head], None],
@@ -79,12 +81,23 @@
 
 
 class Attempt:
-    """One send of a call to one server."""
+    """One send of a call to one server.
+
+    `moved_at` is when it last made progress: at its head, and at each part of a signed
+    body whose length is told. Other bodies may have no end.
+    """
 
     def __init__(
-        self, wire: Wire, call: request.Call, choice: placement.Choice
+        self,
+        wire: Wire,
+        call: request.Call,
+        choice: placement.Choice,
+        space: held.Space | None = None,
     ) -> None:
-        """Prepare the send of a call to a chosen server."""
+        """Prepare the send of a call to a chosen server.
+
+        What is kept of the answer takes its `share` of a space, to be released.
+        """
         self._wire = wire
         self.call = call
         self._clock = asyncio.get_running_loop().time
@@ -95,25 +108,30 @@
         self.stalled = False
         self.outdated = False
         self.has_begun = False  # the server has sent a part of the body
+        self.why_broken = ''
         self.sent = False
         self.conn: upstream.Connection | None = None
         self.body: list[bytes] = []
         self.size = 0
+        space = space or held.Space(MAX_HELD_BYTES)
+        self.share = held.Share(space, MAX_BUFFERED_BYTES)
+        self._has_end = False
 
     def on_head(self, head: upstream.Head) -> None:
         """Take the head of the answer; a stream begins at once."""
         self.moved_at = self._clock()
         self.head = self._wire.read_head(head)
+        self._has_end = self.head.signed and 'Content-Length' in head.headers
         if self.head.load is not None:
             self.choice.backend.hear_load(self.head.load, self.moved_at)
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a part of an answer that is passed on when it is whole."""
-        self.moved_at = self._clock()
         self.has_begun = True
+        if self._has_end:
+            self.moved_at = self._clock()
         self.size += len(chunk)
-        if self.size > MAX_BUFFERED_BYTES:
-            raise ValueError('the answer is larger than the bound')
+        self.share.resize(self.size)
         self.body.append(chunk)
 
     def give_up(self, why: str) -> None:
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -2,9 +2,12 @@
 
 import re
 
+from primrosesaddle.net import held
+
 __all__ = ('EventCutter',)
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+_LONGEST_END = 4
 _EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -12,38 +15,48 @@
 class EventCutter:
     """Pass on whole events only, and none that was passed on before."""
 
-    def __init__(self, last_id: int = 0) -> None:
-        """Start after an event id."""
+    def __init__(self, last_id: int = 0, space: held.Space | None = None) -> None:
+        """Start after an event id.
+
+        The part of an event takes its share of a space, until `restart`.
+        """
+        self._share = held.Share(space or held.Space(MAX_EVENT_BYTES), MAX_EVENT_BYTES)
         self.last_id = last_id
         self.events = 0
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Take bytes, and return the whole events that they complete.
 
-        Raises `ValueError` when an event never ends.
+        Raises `upstream.NoAnswer` when an event never ends.
         """
         self._buffer += chunk
         whole = []
         begin = 0
-        for found in _EVENT_END.finditer(self._buffer):
-            event = self._buffer[begin : found.end()]
+        for found in _EVENT_END.finditer(self._buffer, self._searched):
+            event = bytes(self._buffer[begin : found.end()])
             begin = found.end()
             if self._is_new(event):
                 whole.append(event)
-        self._buffer = self._buffer[begin:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError('an event is larger than the bound')
+        if begin:
+            self._buffer = self._buffer[begin:]
+        # An event that comes in many parts is searched once, not at each part.
+        self._searched = max(0, len(self._buffer) - _LONGEST_END + 1)
+        self._share.resize(len(self._buffer))
         return b''.join(whole)
 
     def rest(self) -> bytes:
         """Return what is left after the last whole event of a whole stream."""
-        rest, self._buffer = self._buffer, b''
+        rest = bytes(self._buffer)
+        self.restart()
         return rest
 
     def restart(self) -> None:
         """Forget the part of an event whose server broke off."""
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
+        self._share.release()
 
     def _is_new(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -20,7 +20,7 @@
 )
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
-from primrosesaddle.net import pool, upstream
+from primrosesaddle.net import held, pool, upstream
 from primrosesaddle.telemetry import journal, metrics
 
 __all__ = ('Parts', 'Relay')
@@ -62,6 +62,7 @@
         self._parts = parts
         self._clock = asyncio.get_running_loop().time
         self._attempts: set[attempts.Attempt] = set()
+        self._space = held.Space(attempts.MAX_HELD_BYTES)
         self.in_flight = 0
 
     async def serve(self, call: request.Call, sink: attempts.Sink) -> None:
@@ -70,7 +71,7 @@
         Cancelling this ends the work at the server, as when the caller left.
         """
         self.in_flight += 1
-        cutter = events.EventCutter(call.resume_from)
+        cutter = events.EventCutter(call.resume_from, self._space)
         try:
             async with asyncio.timeout_at(call.final_at):
                 await self._serve(call, sink, cutter)
@@ -82,6 +83,7 @@
             self._log(call, 'left', status=0)
             raise
         finally:
+            cutter.restart()
             self.in_flight -= 1
 
     async def watch(self) -> None:
@@ -107,10 +109,11 @@
             choice = await self._parts.queue.place(call, service)
             call.placed = choice.describe(self._clock())
             call.version = choice.version
-            attempt = attempts.Attempt(self._parts.wire, call, choice)
+            attempt = attempts.Attempt(self._parts.wire, call, choice, self._space)
             try:
                 done = await self._run(attempt, call, sink, cutter, service)
             finally:
+                attempt.share.release()
                 self._parts.queue.release(call, choice)
             if done:
                 return
@@ -159,6 +162,7 @@
                 call.body,
             )
             ending = await exchange.read()
+            attempt.why_broken = exchange.why
         except asyncio.CancelledError:
             conn.close()
             raise
@@ -215,11 +219,11 @@
             if head is None or not head.signed or head.status >= 300:
                 attempt.on_body(chunk)
                 return None
-            attempt.moved_at = self._clock()
             attempt.has_begun = True
             whole = cutter.feed(chunk)
             if not whole:
                 return None
+            attempt.moved_at = self._clock()
             attempt.choice.backend.note_started(call)
             self._start_stream(attempt, call, sink)
             return sink.write(whole)
@@ -365,6 +369,7 @@
             status=head.status if head else 0,
             after_s=round(self._clock() - attempt.began, 3),
             stalled=attempt.stalled,
+            why=attempt.why_broken,
         )
 
     def _log(
