Let a test's watch wait at the store before its changes

Its entry follows the store as soon as it has read everything; when the watch came in only after the test's changes, it was answered at once, mute or not. The test now waits until the watch waits.

--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -59,6 +59,7 @@
         self.revision = 1
         self.down = False
         self.mute = False
+        self.watching = 0
         self.address = free_address()
         self._changed = asyncio.Event()
         self._server: httpserver.HTTPServer | None = None
@@ -101,8 +102,10 @@
         return [event for event in self.events if event['revision'] > revision]
 
     async def wait(self, wait_s: float) -> None:
+        self.watching += 1
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._changed.wait(), wait_s)
+        self.watching -= 1
 
     def _add(self, event: dict[str, typing.Any]) -> None:
         self.events.append(event)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -367,6 +367,7 @@
     server = stand.Server('a')
 
     async def check(fleet):
+        await fleet.until(lambda: fleet.store.watching)
         fleet.store.mute = True
         fleet.store.put('servers/i-a', server.record(state='draining'))
         fleet.store.put('servers/i-b', server.record(sequence=1))
