--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -13,10 +13,10 @@
     budget,
     events,
     finals,
-    patience,
     request,
     routes,
     targets,
+    watcher,
 )
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import view
@@ -25,7 +25,6 @@
 
 __all__ = ('Parts', 'Relay')
 
-WATCH_S = 0.05
 # A non-idempotent call takes a new connection: a reset of a kept one would leave open
 # whether it ran. Others ride one that idled no longer than this.
 UNSAFE_IDLE_S = 0.0
@@ -61,7 +60,7 @@
         """Create a relay."""
         self._parts = parts
         self._clock = asyncio.get_running_loop().time
-        self._attempts: set[attempts.Attempt] = set()
+        self.watcher = watcher.Watcher(parts.overdue, self._clock)
         self._space = held.Space(attempts.MAX_HELD_BYTES)
         self.in_flight = 0
 
@@ -86,15 +85,6 @@
             cutter.restart()
             self.in_flight -= 1
 
-    async def watch(self) -> None:
-        """Break off attempts that make no progress, until cancelled."""
-        while True:
-            await asyncio.sleep(WATCH_S)
-            now = self._clock()
-            for attempt in list(self._attempts):
-                self._check(attempt, now)
-            self._parts.kept.sweep()
-
     async def _serve(
         self, call: request.Call, sink: attempts.Sink, cutter: events.EventCutter
     ) -> None:
@@ -153,7 +143,7 @@
             *hooks,
             lambda headers: self._parts.wire.answers(call, headers),
         )
-        self._attempts.add(attempt)
+        self.watcher.add(attempt)
         try:
             exchange.send(
                 call.method,
@@ -167,7 +157,7 @@
             conn.close()
             raise
         finally:
-            self._attempts.discard(attempt)
+            self.watcher.drop(attempt)
         if ending is upstream.Ending.WHOLE:
             self._parts.kept.release(backend.server_id, conn)
         return self._settle(attempt, call, sink, cutter, ending)
@@ -274,7 +264,7 @@
         call.note(verdict.Verdict.RAN)
         failed = head.status >= 500
         backend.note_outcome(failed=failed)
-        if failed and call.route.repeatable and self._may_repeat(call):
+        if failed and call.route.repeatable and call.may_be_sent_again(self._clock()):
             self._log_attempt(attempt, call, 'failed')
             return False
         self._answer(attempt, call, sink, cutter)
@@ -311,19 +301,13 @@
             call, 'answered', head.status, server=attempt.choice.backend.server_id
         )
 
-    def _may_repeat(self, call: request.Call) -> bool:
-        return (
-            len(call.tried) < call.route.max_attempts
-            and call.final_at - self._clock() > WATCH_S
-        )
-
     def _check_repeat(self, call: request.Call, service: routes.Service) -> None:
         """Raise the final refusal unless the call may be sent again."""
         not_run = call.worst is verdict.Verdict.NOT_RUN
         if not (not_run or call.route.repeatable):
             raise finals.unanswered('no_answer')
         sent = bool(call.tried)
-        allowed = self._may_repeat(call) if sent else True
+        allowed = call.may_be_sent_again(self._clock()) if sent else True
         if len(call.refused_by) > MAX_REFUSALS or not allowed:
             raise finals.after_refusals(call)
         if sent and not self._parts.repeats.take(service.name):
@@ -342,22 +326,6 @@
         sink.refuse(refusal)
         self._log(call, 'refused', refusal.status, reason=refusal.reason)
 
-    def _check(self, attempt: attempts.Attempt, now: float) -> None:
-        call = attempt.call
-        if attempt.outdated:
-            return
-        if call.model and not attempt.has_begun:
-            overdue = self._parts.overdue(call.model)
-            if attempt.choice.version < overdue:
-                attempt.withdraw(overdue)
-                return
-        if attempt.stalled or not call.route.repeatable or not self._may_repeat(call):
-            return
-        silent_s = now - attempt.moved_at
-        limit_s = patience.of(attempt)
-        if silent_s > limit_s:
-            attempt.give_up(f'limit_s={limit_s:.2f}')
-
     def _log_attempt(
         self, attempt: attempts.Attempt, call: request.Call, outcome: str
     ) -> None:
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -7,6 +7,8 @@
 
 __all__ = ('Call', 'Cost')
 
+LEAST_LEFT_S = 0.05  # a send with less time left is of no use
+
 Pairs = tuple[tuple[str, str], ...]
 
 
@@ -62,6 +64,11 @@
         """Tell whether the caller came back when it could be no more on time."""
         return self.spent_s > self.route.objective_s and not self.answering
 
+    def may_be_sent_again(self, now: float) -> bool:
+        """Tell whether the call has an attempt and time left for another send."""
+        is_left = self.final_at - now > LEAST_LEFT_S
+        return is_left and len(self.tried) < self.route.max_attempts
+
     def note(self, found: verdict.Verdict) -> None:
         """Keep the worst verdict of all attempts."""
         if self.worst is verdict.Verdict.NOT_RUN:
--- /dev/null
+++ b/src/primrosesaddle/calls/watcher.py
@@ -0,0 +1,58 @@
+"""The watcher: breaks off attempts that are silent, or would begin too late."""
+
+import asyncio
+from collections.abc import Callable
+
+from primrosesaddle.calls import attempts, patience
+
+__all__ = ('LOOK_S', 'Watcher')
+
+LOOK_S = 0.05  # between looks at all attempts
+
+
+class Watcher:
+    """The attempts under way, and when each is broken off."""
+
+    def __init__(
+        self, overdue: Callable[[str], int], clock: Callable[[], float]
+    ) -> None:
+        """Watch nothing yet.
+
+        `overdue` gives the least version of a model on which a call that was sent
+        may still begin.
+        """
+        self._overdue = overdue
+        self._clock = clock
+        self._attempts: set[attempts.Attempt] = set()
+
+    def add(self, attempt: attempts.Attempt) -> None:
+        """Watch an attempt whose request is about to be sent."""
+        self._attempts.add(attempt)
+
+    def drop(self, attempt: attempts.Attempt) -> None:
+        """Watch an attempt no more."""
+        self._attempts.discard(attempt)
+
+    async def run(self) -> None:
+        """Look at every attempt now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            for attempt in list(self._attempts):
+                self._look(attempt)
+
+    def _look(self, attempt: attempts.Attempt) -> None:
+        call = attempt.call
+        if attempt.outdated or attempt.stalled:
+            return
+        if call.model and not attempt.has_begun:
+            overdue = self._overdue(call.model)
+            if attempt.choice.version < overdue:
+                attempt.withdraw(overdue)
+                return
+        now = self._clock()
+        if not call.route.repeatable or not call.may_be_sent_again(now):
+            return
+        silent_s = now - attempt.moved_at
+        limit_s = patience.of(attempt)
+        if silent_s > limit_s:
+            attempt.give_up(f'limit_s={limit_s:.2f}')
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -101,7 +101,7 @@
         spawn = self.kernel.spawn
         spawn(self._reader.run(), 'reader')
         spawn(self._queue.run(), 'admission')
-        spawn(self._relay.watch(), 'relay')
+        spawn(self._relay.watcher.run(), 'watcher')
         spawn(self._sweep(), 'sweep')
         spawn(self._mesh.run(), 'mesh')
         spawn(self._goals.run(), 'goals')
@@ -247,6 +247,7 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
+            self._kept.sweep()
             self._note_required()
             if pauses.observe(clocks.boot_time()):
                 await self.wake()
