Take changes of the store that are large together

Found while merging: the bound of 4 MB on answers to this system's own calls also held for watches, whose answer may bear every change of 20 s with values of up to 1 MB. An entry that had missed a few such changes would have failed every watch until the store forgot them. Watches may now answer with 32 MB. The new test did not reach the configuration within its 10 s before.

--- a/src/primrosesaddle/net/call.py
+++ b/src/primrosesaddle/net/call.py
@@ -14,7 +14,7 @@
 IDLE_S = 1.0
 # Pages of the store take about 1 MB, other answers less.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-MAX_HELD_BYTES = 8 * 1024 * 1024  # of all calls to an address together
+TOGETHER = 2  # answers of the largest size that a client holds at once
 
 
 class CallFailed(Exception):
@@ -33,11 +33,12 @@
 class Client:
     """Calls to one address; idle connections are kept for the next call."""
 
-    def __init__(self, address: str) -> None:
-        """Prepare calls to an IP:PORT address."""
+    def __init__(self, address: str, answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        """Prepare calls to an IP:PORT address whose answers have at most a size."""
         self.address = address
         self._idle: list[upstream.Connection] = []
-        self._space = held.Space(MAX_HELD_BYTES)
+        self._answer_bytes = answer_bytes
+        self._space = held.Space(TOGETHER * answer_bytes)
 
     async def call(
         self,
@@ -69,7 +70,7 @@
         conn = await self._connection(kept=kept)
         heads: list[upstream.Head] = []
         body_read = bytearray()
-        share = held.Share(self._space, MAX_ANSWER_BYTES)
+        share = held.Share(self._space, self._answer_bytes)
 
         def on_body(chunk: bytes) -> None:
             share.resize(len(body_read) + len(chunk))
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -14,6 +14,8 @@
 
 READ_TIMEOUT_S = 2.0  # answers take milliseconds; a slow store about 0.3 s
 WATCH_SLACK_S = 2.0  # beyond the wait that the store was asked for
+# Changes of 20 s, the store's history, at one value of 1 MB a second in base64.
+MAX_CHANGES_BYTES = 32 * 1024 * 1024
 PREFIX = ''  # all of what the operator and the servers publish
 GONE = 410
 
@@ -47,7 +49,7 @@
     def __init__(self, address: str) -> None:
         """Prepare calls to an IP:PORT address."""
         self._reads = call.Client(address)
-        self._watches = call.Client(address)
+        self._watches = call.Client(address, MAX_CHANGES_BYTES)
 
     async def read_all(self) -> view.Snapshot:
         """Return every item, page by page, at the revision of the first page.
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -347,6 +347,21 @@
     in_fleet(check, server)
 
 
+def test_many_large_changes_at_once_are_read(in_fleet):
+    """An entry takes what was published while it did not look, however much."""
+
+    async def check(fleet):
+        await fleet.until(lambda: fleet.store.watching)
+        fleet.store.mute = True
+        for number in range(6):
+            fleet.store.put(f'op/large/{number}', b'x' * 1024 * 1024)
+        fleet.store.mute = False
+        fleet.store.put('op/config', stand.configuration(2))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+
+    in_fleet(check)
+
+
 def test_last_view_stays_through_an_outage(in_fleet):
     """Calls are served while the store is away."""
     server = stand.Server('a')
