Hold calls to plain services to no version

The new test did not end within 60 s before.

A choice of a server of a plain service has no version now, whatever its record says, and only one that has a version can be too old.

--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -53,6 +53,10 @@
     version: int
     chain: tuple[Stop, ...] = ()
 
+    def is_older_than(self, version: int) -> bool:
+        """Tell whether the server holds weights, and older ones than a version."""
+        return 0 < self.version < version
+
     def describe(self, now: float) -> str:
         """Return what decided, for the log: prediction, load, its age, the chain."""
         backend = self.backend
@@ -206,7 +210,12 @@
         service: routes.Service,
         now: float,
     ) -> int:
-        """Return the version of the call's model that a server holds whole."""
+        """Return the version of the call's model that a server holds whole.
+
+        It is 0 for a plain service, whose calls are bound to no version.
+        """
+        if service.engine is None:
+            return 0
         held = backend.layers_of(call.model, now)
         return layers.whole_version(held, _layers(service))
 
--- a/src/primrosesaddle/calls/relay.py
+++ b/src/primrosesaddle/calls/relay.py
@@ -123,7 +123,7 @@
         if conn is None:
             return False
         required = self._required(call)
-        if attempt.choice.version < required:
+        if attempt.choice.is_older_than(required):
             # A newer one became required while the connection was opened.
             attempt.withdraw(required)
             self._parts.kept.release(backend.server_id, conn)
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -46,7 +46,7 @@
             return
         if call.model and not attempt.has_begun:
             overdue = self._overdue(call.model)
-            if attempt.choice.version < overdue:
+            if attempt.choice.is_older_than(overdue):
                 attempt.withdraw(overdue)
                 return
         now = self._clock()
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -495,6 +495,23 @@
     in_fleet(check, old, new, version_s=2.0)
 
 
+def test_plain_service_is_bound_to_no_version(in_fleet):
+    """A call to it may name a model whose newer version is required by now."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.put(
+            f'op/version/{stand.MODEL}', {'model': stand.MODEL, 'version': 2}
+        )
+        await asyncio.sleep(fleet.version_s)
+        got = await fleet.call(
+            '/book/1', deadline_ms=500, headers={'X-Model': stand.MODEL}
+        )
+        _same((got.status, len(server.seen)), (200, 1))
+
+    in_fleet(check, server, version_s=0.9)
+
+
 def _holds(fleet, server_id):
     return fleet.entry.table.get(server_id).record.models
 
