Refuse late calls that a stop would cut

An entry got SIGTERM at 13.484 s and took a stream 3.775 s later, which its server was still writing when the entry ended at 7.46 s, 0.6 s before it would be killed.

Cause: a leaving entry took every call until its end. Callers keep an address for up to 3 s, and longer when the directory does not answer, so some come late; a call that comes then and takes longer than what is left is cut.

From 3 s on, when callers should be gone, a leaving entry takes only what ends before it does by its time limit; the rest is told at once that it did not run, and to come back after 0.1 s, which takes the caller to another entry. The new test had 504 at the end of the time limit in place of 503 at once before.

--- a/src/primrosesaddle/calls/doorway.py
+++ b/src/primrosesaddle/calls/doorway.py
@@ -1,6 +1,7 @@
 """The doorway: judges a request by the configuration, and has it relayed."""
 
 import dataclasses
+import math
 
 from primrosesaddle.calls import attempts, relay, request, routes
 from primrosesaddle.core import verdict
@@ -9,6 +10,7 @@
 
 __all__ = ('Asked', 'Doorway')
 
+LEAVING_RETRY_S = 0.1  # another entry takes the call at once
 NOT_READY_RETRY_S = 1.0  # a fresh process has a configuration within a second
 # Time limits of first attempts differ by up to a sixth of the longest.
 RETRY_SHARE = 0.25
@@ -57,6 +59,18 @@
         self._relay = relay_calls
         self._seen: dict[str, _Seen] = {}
         self.leaving = False
+        self._gone_from = math.inf
+        self._ends_at = math.inf
+
+    def leave(self, gone_from: float, ends_at: float) -> None:
+        """Serve on until a time, as this process leaves.
+
+        From `gone_from` on, when callers should be gone, a call is taken only if it
+        ends before `ends_at` at the latest.
+        """
+        self.leaving = True
+        self._gone_from = gone_from
+        self._ends_at = ends_at
 
     @property
     def in_flight(self) -> int:
@@ -97,6 +111,8 @@
             raise verdict.not_run('no_request_id', STATUS_MALFORMED)
         workspace = self._workspace(conf, route, asked.key)
         call = _make_call(asked, conf, route, workspace)
+        if asked.arrived >= self._gone_from and call.final_at > self._ends_at:
+            raise verdict.not_run('leaving', 503, LEAVING_RETRY_S)
         call.spent_s = self._spent_s(route, asked.deadline_s)
         return call
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -120,17 +120,17 @@
     async def stop(self) -> None:
         """Leave: take no new callers, end what has begun, then stop."""
         began = self._clock()
-        self._door.leaving = True
+        gone_from = began + DIRECTORY_TTL_S * LATE_CALLERS
+        ends_at = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
+        self._door.leave(gone_from, ends_at)
         self._mesh.leave()
         journal.info('entry.leaving', in_flight=self._door.in_flight)
-        ttl_s = DIRECTORY_TTL_S * LATE_CALLERS
-        last_s = self.cfg.bounds.grace_s - STOP_MARGIN_S
-        quiet_since = self._clock()
-        while self._clock() - began < last_s:
+        quiet_since = began
+        while self._clock() < ends_at:
             await asyncio.sleep(0.05)
             if self._door.in_flight:
                 quiet_since = self._clock()
-            quiet_s = self._clock() - max(quiet_since, began + ttl_s)
+            quiet_s = self._clock() - max(quiet_since, gone_from)
             if quiet_s > QUIET_S:
                 break
         for server in self._servers:
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -399,12 +399,18 @@
         self._others: list[entry.Entry] = []
         self._calls = 0
         self.version_s = 8.0
+        self.grace_s = 1.5
 
     async def start(
-        self, *servers: Server, version: int = 1, version_s: float = 8.0
+        self,
+        *servers: Server,
+        version: int = 1,
+        version_s: float = 8.0,
+        grace_s: float = 1.5,
     ) -> None:
         """Start the store, the servers and an entry that knows them."""
         self.version_s = version_s
+        self.grace_s = grace_s
         self.store.start()
         self.store.put('op/config', configuration(version))
         for server in servers:
@@ -416,7 +422,7 @@
 
     async def restart(self) -> None:
         """Start the entry, as a process of its own with new addresses."""
-        self.cfg = _node(self.store.address, self.version_s)
+        self.cfg = self._node()
         made = platform_main.make_adapter(self.cfg)
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
@@ -426,7 +432,7 @@
         seeds = (self.cfg.listen.peers,)
         self._others.append(typing.cast(entry.Entry, self.entry))
         self.cfg = dataclasses.replace(
-            _node(self.store.address, self.version_s),
+            self._node(),
             name=f'entry-{len(self._others) + 1}',
             seeds=seeds,
         )
@@ -434,6 +440,13 @@
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
 
+    def _node(self) -> node.Node:
+        cfg = _node(self.store.address)
+        bounds = dataclasses.replace(
+            cfg.bounds, version_s=self.version_s, grace_s=self.grace_s
+        )
+        return dataclasses.replace(cfg, bounds=bounds)
+
     async def stop(self) -> None:
         """Stop everything."""
         for other in self._others:
@@ -530,7 +543,7 @@
         return Got(status, headers, b''.join(parts), whole=False)
 
 
-def _node(store: str, version_s: float = 8.0) -> node.Node:
+def _node(store: str) -> node.Node:
     bounds = node.Bounds(
         drain_s=2,
         grace_s=1.5,
@@ -538,7 +551,7 @@
         retry_ratio=0.2,
         retry_window_s=10,
         retry_extra=100,
-        version_s=version_s,
+        version_s=8.0,
         directory_ttl_s=5,
         contact_s=CONTACT_S,
     )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -536,6 +536,27 @@
     in_fleet(check, *servers)
 
 
+def test_late_call_that_a_stop_would_cut_is_refused(in_fleet):
+    """A leaving entry takes, after its callers should be gone, what surely ends."""
+    server = stand.Server('a', stand.hang)
+
+    async def check(fleet):
+        early = asyncio.create_task(fleet.call('/chat/1', deadline_ms=4900))
+        await fleet.until(lambda: server.seen)
+        stopping = asyncio.create_task(fleet.entry.stop())
+        await asyncio.sleep(3.1)
+        late = await fleet.call('/chat/1')
+        _same((late.status, late.headers['connection']), (503, 'close'))
+        assert float(late.headers['retry-after']) < 0.5
+        server.script = stand.answer()
+        _same((await fleet.call('/brief/1')).status, 200)
+        _same(len(server.seen), 2)
+        early.cancel()
+        await stopping
+
+    in_fleet(check, server, grace_s=5.0)
+
+
 def test_entry_without_a_configuration(in_fleet):
     """A process that knows no configuration says so, and is not ready."""
     server = stand.Server('a')
