Log slow paths between processes, and what entries send each other

Two of the three hypotheses of the incident could not be told apart by the logs: whether calls were late on their way, or the entry was stalled.

path.slow and path.fast tell when the round trip to a peer crosses 0.3 s, watcher.late when calls are looked at late, items.pulled and configuration.adopted how large the items were; the metric items_bytes counts what an entry sends of them.

--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable
 
 from primrosesaddle.calls import attempts, patience
+from primrosesaddle.telemetry import journal
 
 __all__ = ('LOOK_S', 'Watcher')
 
 LOOK_S = 0.05  # between looks at all attempts
+LATE_S = 0.1  # a look that is later by this much is logged
 
 
 class Watcher:
@@ -35,8 +37,13 @@
 
     async def run(self) -> None:
         """Look at every attempt now and then, until cancelled."""
+        looked_at = self._clock()
         while True:
             await asyncio.sleep(LOOK_S)
+            late_s = self._clock() - looked_at - LOOK_S
+            if late_s > LATE_S:
+                journal.info('watcher.late', late_s=round(late_s, 3))
+            looked_at = self._clock()
             for attempt in list(self._attempts):
                 self._look(attempt)
 
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -23,13 +23,17 @@
     def __init__(
         self, cfg: node.Node, seen: view.View | None, rand: random.Random
     ) -> None:
-        """Prepare the links of a process; an agent has no view to share."""
+        """Prepare the links of a process; an agent has no view to share.
+
+        `items_bytes` counts what is sent of published items.
+        """
         self.board = switchboard.Switchboard()
         self.ready: Callable[[], bool] = bool
         self.ages_s: Callable[[], dict[str, float]] = dict
         self._view = seen
         self._rand = rand
         self._pulling: set[str] = set()
+        self.items_bytes = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.mates = members.Members(_card(cfg), self.board.hooks(), None, rand)
         self.mates.live = self._marks
@@ -144,6 +148,7 @@
     async def _pull(self, channel: link.Channel, name: str, revision: int) -> None:
         """Pull what a peer knows, unless the store tells it first."""
         seen = self._view
+        began = time.monotonic()
         try:
             if seen is not None and seen.configuration is not None:
                 await asyncio.sleep(PULL_LAG_S)
@@ -157,6 +162,14 @@
         finally:
             self._pulling.discard(name)
         if isinstance(body, wire.Items):
+            journal.info(
+                'items.pulled',
+                peer=name,
+                after=ask.after,
+                revision=body.revision,
+                size=sum(len(row[1] or b'') for row in body.items),
+                took_s=round(time.monotonic() - began, 3),
+            )
             self._take_items(seen, body, name)
 
     def _take_items(self, seen: view.View, body: wire.Items, name: str) -> None:
@@ -175,6 +188,7 @@
             return
         whole = body.after < self._view.history_from
         found = self._view.since(0 if whole else body.after)
+        self.items_bytes += sum(len(item.body or b'') for item in found.items)
         told = wire.Items(
             tuple((item.key, item.body, item.revision) for item in found.items),
             found.revision,
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -186,6 +186,7 @@
             version=record.version,
             before=known.version if known else 0,
             revision=item.revision,
+            size=len(item.body or b''),
             source=source,
         )
         return True
--- a/src/primrosesaddle/membership/members.py
+++ b/src/primrosesaddle/membership/members.py
@@ -15,6 +15,7 @@
 REACH_S = 30.0
 DEPARTED_TOLD = 64
 DEPARTED_S = 900.0
+SLOW_RTT_S = 0.3  # a round trip takes milliseconds unless a link on the way is full
 
 Listener = Callable[[peers.Peer], None]
 
@@ -209,7 +210,7 @@
             self.departed[incarnation] = max(when, self.departed.get(incarnation, when))
         sent = self._sent.pop(body.nonce, None) if body.echo else None
         if sent is not None:
-            peer.rtt_s = now - sent
+            _note_rtt(peer, now - sent)
 
     def by_channel(self, channel: link.Channel) -> peers.Peer | None:
         """Return the peer at the other end of a channel, or None."""
@@ -311,6 +312,20 @@
         _tell(self.left, peer)
 
 
+def _note_rtt(peer: peers.Peer, rtt_s: float) -> None:
+    """Keep a round trip to a peer, and log when it becomes slow or fast again."""
+    was_slow = peer.rtt_s > SLOW_RTT_S
+    peer.rtt_s = rtt_s
+    if was_slow != (rtt_s > SLOW_RTT_S):
+        outcome = 'fast' if was_slow else 'slow'
+        journal.info(
+            f'path.{outcome}',
+            peer=peer.card.name,
+            region=peer.card.region,
+            rtt_s=round(rtt_s, 3),
+        )
+
+
 def _tell(listeners: list[Listener], peer: peers.Peer) -> None:
     for listener in listeners:
         try:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -81,6 +81,7 @@
         self._mesh.board.on(wire.Want, self._depot.serve)
         self._metrics.gauge('origin_bytes', lambda: self._depot.origin_bytes)
         self._metrics.gauge('peer_bytes', lambda: self._depot.peer_bytes)
+        self._metrics.gauge('items_bytes', lambda: self.items_bytes)
         self._metrics.gauge('connections_opened', lambda: self._kept.opened)
         self._metrics.gauge('in_flight', lambda: self._door.in_flight)
         self._metrics.gauge('waiting', self._queue.waiting)
@@ -96,6 +97,11 @@
         conf = self._view.configuration
         return 0 if conf is None else conf.version
 
+    @property
+    def items_bytes(self) -> int:
+        """Return how many bytes of published items were sent to peers."""
+        return self._mesh.items_bytes
+
     async def start(self) -> None:
         """Start every service."""
         spawn = self.kernel.spawn
