--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import contextlib
 import dataclasses
 import json
@@ -51,7 +52,10 @@
 
 
 class Store:
-    """The store: items with revisions, ranges and waiting watches."""
+    """The store: items with revisions, ranges and waiting watches.
+
+    `sent` counts how often each item was sent.
+    """
 
     def __init__(self) -> None:
         self.items: dict[str, dict[str, typing.Any]] = {}
@@ -60,6 +64,7 @@
         self.down = False
         self.mute = False
         self.watching = 0
+        self.sent: collections.Counter[str] = collections.Counter()
         self.address = free_address()
         self._changed = asyncio.Event()
         self._server: httpserver.HTTPServer | None = None
@@ -126,6 +131,7 @@
 
 class _Range(_Handler):
     def get(self) -> None:
+        self.store.sent.update(list(self.store.items))
         self.write(
             {
                 'items': list(self.store.items.values()),
@@ -145,6 +151,7 @@
             self.send_error(503)
             return
         events = self.store.after(after)
+        self.store.sent.update(event['key'] for event in events)
         self.write({'events': events, 'storeRevision': self.store.revision})
 
 
@@ -427,13 +434,22 @@
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
 
-    async def join(self) -> None:
-        """Start one more entry, which takes the calls from now on."""
+    async def join(
+        self, data_centre: str = 'dc-1', *, store: str | None = None
+    ) -> None:
+        """Start one more entry, which takes the calls from now on.
+
+        `store` is the address of its store, if it is another one.
+        """
         seeds = (self.cfg.listen.peers,)
         self._others.append(typing.cast(entry.Entry, self.entry))
+        cfg = self._node()
         self.cfg = dataclasses.replace(
-            self._node(),
+            cfg,
             name=f'entry-{len(self._others) + 1}',
+            data_centre=data_centre,
+            region=cfg.regions[data_centre],
+            store=store or cfg.store,
             seeds=seeds,
         )
         made = platform_main.make_adapter(self.cfg)
@@ -457,6 +473,11 @@
             await server.stop()
         await self.store.stop()
 
+    @property
+    def entries(self) -> list[entry.Entry]:
+        """Return every entry, the one that takes the calls last."""
+        return [*self._others, typing.cast(entry.Entry, self.entry)]
+
     def known_servers(self) -> set[str]:
         """Return the ids of the servers that may get calls."""
         table = typing.cast(entry.Entry, self.entry).table
@@ -568,7 +589,7 @@
         address='127.0.0.1',
         data_centre='dc-1',
         region='region-1',
-        regions={'dc-1': 'region-1'},
+        regions={'dc-1': 'region-1', 'dc-2': 'region-2'},
         listen=listen,
         seeds=(),
         store=store,
