Ask one peer at a time for published items, the nearest first

Callers saw calls take seconds between regions, and so begin on older weights past their bound (VERSION), after they had left (GONE), and by an older configuration (CONFIG).

Cause: an entry that was behind asked every peer whose messages bore a later revision, all at once, for the same items.

Now one peer is asked at a time: one of the own region, and one elsewhere only when half a second has brought nothing. Items go compressed.

--- /dev/null
+++ b/src/primrosesaddle/fleet/feed.py
@@ -0,0 +1,188 @@
+"""The feed: published items, as they pass from entry to entry."""
+
+import asyncio
+import random
+import typing
+import zlib
+from collections.abc import Sequence
+
+import msgspec
+
+from primrosesaddle.fleet import view
+from primrosesaddle.membership import link, members, switchboard, wire
+from primrosesaddle.telemetry import journal
+
+__all__ = ('Feed',)
+
+# What a reader of the store passes on, or this process reads itself, is here by then.
+NEAR_LAG_S = 0.15
+# By then a peer of the same region has it, if that is to come from a reader there.
+FAR_LAG_S = 0.5
+PULL_TIMEOUT_S = 1.0
+RETRY_S = 0.1  # when every peer that is ahead has failed to answer
+PACK_LEVEL = 1  # a configuration shrinks to a tenth at the least effort
+MAX_ITEMS_BYTES = 64 * 1024 * 1024  # of the items in one message
+
+_Rows = tuple[tuple[str, bytes | None, int], ...]
+_ROWS = msgspec.msgpack.Decoder(_Rows)
+
+
+class _Leader(typing.NamedTuple):
+    """A peer whose view is ahead of this one, and the revision that it has."""
+
+    channel: link.Channel
+    card: wire.Card
+    revision: int
+
+
+class Feed:
+    """Pass items on to peers that lack them, and take them from one that has them.
+
+    `items_bytes` counts what is sent of published items.
+    """
+
+    def __init__(
+        self,
+        seen: view.View,
+        mates: members.Members,
+        board: switchboard.Switchboard,
+        rand: random.Random,
+    ) -> None:
+        """Feed a view from peers, and peers from it."""
+        self._view = seen
+        self._mates = mates
+        self._rand = rand
+        self._clock = asyncio.get_running_loop().time
+        self._leaders: dict[str, _Leader] = {}
+        self._is_behind = asyncio.Event()
+        self.items_bytes = 0
+        board.on(wire.PullItems, self._answer_pull)
+        board.watch = self._note_revision
+        board.revision = lambda: seen.revision
+
+    async def run(self) -> None:
+        """Catch up with peers whenever one is ahead, until cancelled."""
+        while True:
+            await self._is_behind.wait()
+            self._is_behind.clear()
+            await self._catch_up()
+
+    def _note_revision(self, channel: link.Channel, revision: int) -> None:
+        card = channel.card
+        if card is None or card.role != 'entry' or revision <= self._view.revision:
+            return
+        self._leaders[card.name] = _Leader(channel, card, revision)
+        self._is_behind.set()
+
+    async def _catch_up(self) -> None:
+        """Ask the peers that are ahead one after the other, the nearest first.
+
+        What they send crosses the same links as calls do.
+        """
+        noticed_at = self._clock()
+        tried: set[str] = set()
+        if self._can_wait:
+            await asyncio.sleep(NEAR_LAG_S)
+        while leaders := self._find_leaders():
+            near = [lead for lead in leaders if self._is_near(lead)]
+            is_early = self._clock() - noticed_at < FAR_LAG_S
+            if not near and is_early and self._can_wait:
+                await asyncio.sleep(NEAR_LAG_S)
+                continue
+            found = _others(near, tried) or _others(leaders, tried)
+            if not found:
+                tried.clear()
+                await asyncio.sleep(RETRY_S)
+                continue
+            chosen = self._rand.choice(found)
+            tried.add(chosen.card.name)
+            await self._pull(chosen)
+
+    @property
+    def _can_wait(self) -> bool:
+        """Tell whether this process can serve meanwhile by what it has."""
+        return self._view.configuration is not None
+
+    def _find_leaders(self) -> list[_Leader]:
+        """Return the peers that are still ahead, and forget the others."""
+        self._leaders = {
+            name: lead
+            for name, lead in self._leaders.items()
+            if lead.revision > self._view.revision and not lead.channel.closed
+        }
+        return list(self._leaders.values())
+
+    def _is_near(self, lead: _Leader) -> bool:
+        return lead.card.region == self._mates.card.region
+
+    async def _pull(self, lead: _Leader) -> None:
+        """Take what a peer knows beyond this view."""
+        began = self._clock()
+        name = lead.card.name
+        ask = wire.PullItems(self._view.revision)
+        try:
+            body = await lead.channel.request(ask, PULL_TIMEOUT_S)
+        except (TimeoutError, link.ChannelClosed) as exc:
+            journal.info('items.unpulled', peer=name, error=repr(exc))
+            return
+        if not isinstance(body, wire.Items):
+            return
+        journal.info(
+            'items.pulled',
+            peer=name,
+            after=ask.after,
+            revision=body.revision,
+            size=len(body.packed),
+            took_s=round(self._clock() - began, 3),
+        )
+        self._take(body, name)
+
+    def _take(self, body: wire.Items, name: str) -> None:
+        try:
+            items = _unpack(body.packed)
+        except ValueError as exc:
+            journal.warning('items.unreadable', peer=name, error=str(exc))
+            return
+        # Before the items, so that a version among them has an age at once.
+        self._view.namings.hear(body.named_ages_s)
+        if body.whole:
+            self._view.replace(view.Snapshot(items, body.revision), name)
+        else:
+            self._view.apply(view.Changes(items, body.revision), name)
+
+    def _answer_pull(
+        self, channel: link.Channel, rid: int, body: wire.PullItems
+    ) -> None:
+        whole = body.after < self._view.history_from
+        told = self._items_since(0 if whole else body.after, whole=whole)
+        self.items_bytes += len(told.packed)
+        channel.send(told, rid, reply=True)
+
+    def _items_since(self, after: int, *, whole: bool) -> wire.Items:
+        found = self._view.since(after)
+        ages_s = self._view.namings.known_ages_s()
+        return wire.Items(_pack(found.items), found.revision, whole, ages_s)
+
+
+def _others(leaders: Sequence[_Leader], tried: set[str]) -> list[_Leader]:
+    return [lead for lead in leaders if lead.card.name not in tried]
+
+
+def _pack(items: Sequence[view.Item]) -> bytes:
+    """Return items as compressed bytes."""
+    return zlib.compress(msgspec.msgpack.encode(items), PACK_LEVEL)
+
+
+def _unpack(packed: bytes) -> list[view.Item]:
+    """Return the items in compressed bytes.
+
+    Raises `ValueError` when they cannot be read or are too large.
+    """
+    reader = zlib.decompressobj()
+    try:
+        rows = reader.decompress(packed, MAX_ITEMS_BYTES)
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from None
+    if not reader.eof:
+        raise ValueError(f'items are cut off, or larger than {MAX_ITEMS_BYTES} bytes')
+    return [view.Item(*row) for row in _ROWS.decode(rows)]
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -224,12 +224,12 @@
 
 
 class Items(msgspec.Struct, tag=23, array_like=True, frozen=True):
-    """Published items up to a revision; a body is None where one was removed.
+    """Published items up to a revision, packed.
 
     `whole` tells that items which are missing here are gone.
     """
 
-    items: tuple[tuple[str, bytes | None, int], ...]
+    packed: bytes
     revision: int
     whole: bool
     named_ages_s: dict[str, float]
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -15,7 +15,7 @@
     routes,
 )
 from primrosesaddle.core import clocks, kernel, layers, pause
-from primrosesaddle.fleet import mesh, node, reader, view
+from primrosesaddle.fleet import feed, mesh, node, reader, view
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
 from primrosesaddle.process import adapter, goals, listen
@@ -55,6 +55,9 @@
         self._metrics = metrics.make_metrics()
         self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self._mesh.ready = lambda: self.ready
+        self._feed = feed.Feed(
+            self._view, self._mesh.mates, self._mesh.board, self._rand
+        )
         self.table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
@@ -100,7 +103,7 @@
     @property
     def items_bytes(self) -> int:
         """Return how many bytes of published items were sent to peers."""
-        return self._mesh.items_bytes
+        return self._feed.items_bytes
 
     async def start(self) -> None:
         """Start every service."""
@@ -110,6 +113,7 @@
         spawn(self._relay.watcher.run(), 'watcher')
         spawn(self._sweep(), 'sweep')
         spawn(self._mesh.run(), 'mesh')
+        spawn(self._feed.run(), 'feed')
         spawn(self._goals.run(), 'goals')
         self._mesh.start()
         front = self._adapter.front
