Let one entry of a region read the store for the others

Callers saw calls take up to 3 s between regions, and so begin on older weights past their bound (VERSION), after they had left (GONE), and by an older configuration (CONFIG).

Cause: each of 18 entries had a watch of its own, so the store sent each change to each of them; a configuration of 325,010 bytes crossed each of two links of 13.5 Mbit/s six times, in base64.

Now one entry of a region waits there, and passes on what it read at once. The others look themselves when they have heard nothing for 0.4 of the least time in which a change must be in force.

What an entry that is fed must know goes along: which removals may come back after an outage (a peer's word dropped such servers at once before), and how old a version may be that a look now and then finds.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -8,11 +8,15 @@
 
 import msgspec
 
+from primrosesaddle.core import rendezvous
 from primrosesaddle.fleet import view
-from primrosesaddle.membership import link, members, switchboard, wire
+from primrosesaddle.membership import link, members, peers, switchboard, wire
 from primrosesaddle.telemetry import journal
 
-__all__ = ('Feed',)
+__all__ = ('READS', 'Feed', 'pack')
+
+READS = 'reads'  # the mark of an entry that the store answers
+READER = 'reader'  # the key by which entries choose who reads for a region
 
 # What a reader of the store passes on, or this process reads itself, is here by then.
 NEAR_LAG_S = 0.15
@@ -38,7 +42,8 @@
 class Feed:
     """Pass items on to peers that lack them, and take them from one that has them.
 
-    `items_bytes` counts what is sent of published items.
+    `items_bytes` counts what is sent of published items. `fed_at` is when an entry that
+    reads the store told last what it had just read, by the event loop's clock.
     """
 
     def __init__(
@@ -56,7 +61,9 @@
         self._leaders: dict[str, _Leader] = {}
         self._is_behind = asyncio.Event()
         self.items_bytes = 0
+        self.fed_at = 0.0
         board.on(wire.PullItems, self._answer_pull)
+        board.on(wire.Items, self._hear)
         board.watch = self._note_revision
         board.revision = lambda: seen.revision
 
@@ -67,6 +74,45 @@
             self._is_behind.clear()
             await self._catch_up()
 
+    def leads(self) -> bool:
+        """Tell whether this process reads the store for the entries of its region."""
+        mine = self._mates.card.name
+        reading = [
+            peer.card.name
+            for peer in self._fellows()
+            if READS in peer.live and not peer.leaving
+        ]
+        return rendezvous.first(READER, [mine, *reading]) == mine
+
+    def pass_on(self, after: int) -> None:
+        """Tell the entries of this region what was read past a revision."""
+        if self._view.revision <= after or after < self._view.history_from:
+            return
+        told = self._items_since(after, whole=False)
+        for peer in self._fellows():
+            peer.channel.send(told)
+            self.items_bytes += len(told.packed)
+
+    def _fellows(self) -> list[peers.Peer]:
+        """Return the other entries of this region."""
+        region = self._mates.card.region
+        return [
+            peer for peer in self._mates.alive('entry') if peer.card.region == region
+        ]
+
+    def _hear(self, channel: link.Channel, rid: int, body: wire.Items) -> None:
+        """Take what a peer read, unless something before it is missing here.
+
+        The peer is asked for that, as its revision is ahead.
+        """
+        known = self._view.revision
+        if channel.card is None or body.after > known:
+            return
+        self._take(body, channel.card.name)
+        # A reader that stood still tells what others have told meanwhile.
+        if body.revision > known:
+            self.fed_at = self._clock()
+
     def _note_revision(self, channel: link.Channel, revision: int) -> None:
         card = channel.card
         if card is None or card.role != 'entry' or revision <= self._view.revision:
@@ -148,7 +194,8 @@
         if body.whole:
             self._view.replace(view.Snapshot(items, body.revision), name)
         else:
-            self._view.apply(view.Changes(items, body.revision), name)
+            changes = view.Changes(items, body.revision, lapsing_s=body.lapsing_s)
+            self._view.apply(changes, name)
 
     def _answer_pull(
         self, channel: link.Channel, rid: int, body: wire.PullItems
@@ -161,14 +208,17 @@
     def _items_since(self, after: int, *, whole: bool) -> wire.Items:
         found = self._view.since(after)
         ages_s = self._view.namings.known_ages_s()
-        return wire.Items(_pack(found.items), found.revision, whole, ages_s)
+        packed = pack(found.items)
+        return wire.Items(
+            packed, after, found.revision, whole, ages_s, dict(found.lapsing_s)
+        )
 
 
 def _others(leaders: Sequence[_Leader], tried: set[str]) -> list[_Leader]:
     return [lead for lead in leaders if lead.card.name not in tried]
 
 
-def _pack(items: Sequence[view.Item]) -> bytes:
+def pack(items: Sequence[view.Item]) -> bytes:
     """Return items as compressed bytes."""
     return zlib.compress(msgspec.msgpack.encode(items), PACK_LEVEL)
 
@@ -180,9 +230,9 @@
     """
     reader = zlib.decompressobj()
     try:
-        rows = reader.decompress(packed, MAX_ITEMS_BYTES)
-    except zlib.error as exc:
+        rows = _ROWS.decode(reader.decompress(packed, MAX_ITEMS_BYTES))
+    except (zlib.error, msgspec.MsgspecError) as exc:
         raise ValueError(str(exc)) from None
     if not reader.eof:
         raise ValueError(f'items are cut off, or larger than {MAX_ITEMS_BYTES} bytes')
-    return [view.Item(*row) for row in _ROWS.decode(rows)]
+    return [view.Item(*row) for row in rows]
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -6,7 +6,7 @@
 import uuid
 from collections.abc import Callable, Sequence
 
-from primrosesaddle.fleet import node, view
+from primrosesaddle.fleet import feed, node, view
 from primrosesaddle.membership import link, members, peers, switchboard, wire
 
 __all__ = ('Mesh', 'make_mesh')
@@ -24,6 +24,7 @@
         """Prepare the links of a process; an agent has no view to share."""
         self.board = switchboard.Switchboard()
         self.ready: Callable[[], bool] = bool
+        self.reads: Callable[[], bool] = bool
         self.ages_s: Callable[[], dict[str, float]] = dict
         self._view = seen
         self._rand = rand
@@ -90,7 +91,8 @@
         return self._regions.get(data_centre, '')
 
     def _marks(self) -> tuple[str, ...]:
-        return (READY,) if self.ready() else ()
+        marks = ((READY, self.ready()), (feed.READS, self.reads()))
+        return tuple(mark for mark, applies in marks if applies)
 
     def _greet(self, peer: peers.Peer) -> None:
         peer.channel.send(self.mates.roster())
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -1,4 +1,9 @@
-"""The reader: keeps the view in step with the platform's store."""
+"""The reader: keeps the view in step with the platform's store.
+
+One entry of a region waits at the store for changes, and passes them on to the others
+there, so that a large item crosses the links between regions once. The others look at
+the store themselves when they have heard nothing for a while.
+"""
 
 import asyncio
 import random
@@ -6,13 +11,17 @@
 from collections.abc import Callable
 
 from primrosesaddle.core import backoff
-from primrosesaddle.fleet import view
+from primrosesaddle.fleet import feed, view
 from primrosesaddle.net import call
 from primrosesaddle.telemetry import journal
 
 __all__ = ('Reader',)
 
-WAIT_S = 10.0  # each waiting watch is a priced call; the kernel finds dead paths
+# Each waiting watch is a priced call. An entry that is fed by another one from now on
+# has a watch of its own for as long.
+WAIT_S = 2.0
+LOOK_S = 0.1  # between looks at whether this entry is still fed by another
+HISTORY_TRIES = 2  # of an entry that is fed, until it reads everything itself
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
@@ -35,12 +44,22 @@
         self,
         source: Source,
         seen: view.View,
+        fellows: feed.Feed,
+        poll_s: float,
         rand: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        """Prepare to keep a view in step with a source."""
+        """Prepare to keep a view in step with a source.
+
+        An entry that `fellows` feed looks at the source itself when it has heard
+        nothing for `poll_s`.
+        """
         self._source = source
         self._view = seen
+        self._feed = fellows
+        self._poll_s = poll_s
+        self._read_at = 0.0
+        self._missed = 0
         self._rand = rand
         self._clock = clock
         self._failures = 0
@@ -50,6 +69,9 @@
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
+            if self._is_fed():
+                await asyncio.sleep(LOOK_S)
+                continue
             try:
                 await self._step()
             except call.CallFailed as exc:
@@ -69,29 +91,62 @@
             return
         self._view.replace(snapshot, view.STORE)
 
+    @property
+    def in_touch(self) -> bool:
+        """Tell whether the store answers this process."""
+        return self._after is not None and not self._failures
+
+    def _is_fed(self) -> bool:
+        """Tell whether another entry has told lately what it read."""
+        if not self.in_touch or self._feed.leads():
+            return False
+        return self._clock() - self._last_seen_at < self._poll_s
+
+    @property
+    def _last_seen_at(self) -> float:
+        return max(self._read_at, self._feed.fed_at)
+
     async def _step(self) -> None:
+        before = self._view.revision
         if self._after is None:
-            snapshot = await self._source.read_all()
-            self._note_success()
-            self._view.replace(snapshot, view.STORE)
-            self._after = snapshot.revision
-            journal.info(
-                'store.read', items=len(snapshot.items), revision=snapshot.revision
-            )
-            return
-        changes = await self._source.wait_changes(self._after, self._wait_s)
+            await self._read_all()
+        else:
+            await self._read_changes(max(before, self._after))
+        if before:
+            self._feed.pass_on(before)
+
+    async def _read_all(self) -> None:
+        snapshot = await self._source.read_all()
         self._note_success()
+        self._view.replace(snapshot, view.STORE)
+        self._after = snapshot.revision
+        journal.info(
+            'store.read', items=len(snapshot.items), revision=snapshot.revision
+        )
+
+    async def _read_changes(self, after: int) -> None:
+        unseen_s = 0.0 if self._failures else self._clock() - self._last_seen_at
+        changes = await self._source.wait_changes(after, self._wait_s())
         if changes is None:
-            journal.info('store.history_gone', after=self._after)
+            await self._note_history_gone(after)
+            return
+        self._note_success()
+        self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
+        self._after = max(after, changes.revision)
+
+    async def _note_history_gone(self, after: int) -> None:
+        """Read everything next, or let the entry that does so pass it on."""
+        self._note_success()
+        self._missed += 1
+        journal.info('store.history_gone', after=after)
+        if self._feed.leads() or self._missed >= HISTORY_TRIES:
             self._after = None
             return
-        self._view.apply(changes, view.STORE)
-        self._after = max(self._after, changes.revision)
+        await asyncio.sleep(self._poll_s / 2)
 
-    @property
     def _wait_s(self) -> float:
-        """Return a short wait after a failure, to learn soon that it is over."""
-        return 0.0 if self._failures else WAIT_S
+        """Return how long a watch may wait; after a failure it must answer at once."""
+        return WAIT_S if self._feed.leads() and not self._failures else 0.0
 
     def _note_failure(self, exc: call.CallFailed) -> None:
         self._failures += 1
@@ -100,6 +155,7 @@
             journal.warning('store.lost', error=str(exc))
 
     def _note_success(self) -> None:
+        self._read_at = self._clock()
         if not self._failures:
             return
         # One failure is a watch that was cut; an outage fails the retry as well.
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -1,8 +1,9 @@
 """The view: what this process believes of all that is published."""
 
 import math
+import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -22,6 +23,7 @@
 # Without a sweep for this long the process stood still. What it reads within as long
 # after that may have been published meanwhile.
 GAP_S = 0.8
+LOOK_S = 0.2  # between looks at the store, so short that what came has just come
 STORE = 'store'  # the source of what was read from the store itself
 # Tombstones that are kept for peers that ask for changes past a revision.
 HISTORY = 512
@@ -43,10 +45,24 @@
 
 
 class Changes(typing.NamedTuple):
-    """The items that changed, up to a revision."""
+    """The items that changed, up to a revision.
+
+    `unseen_s` is how long the source was not looked at before. `lapsing_s` tells how
+    much longer removed items are kept, as they may come back after an outage.
+    """
 
     items: list[Item]
     revision: int
+    unseen_s: float = 0.0
+    lapsing_s: Mapping[str, float] = types.MappingProxyType({})
+
+
+class _Told(typing.NamedTuple):
+    """What is known of where items came from; see `Changes`."""
+
+    source: str
+    unseen_s: float
+    lapsing_s: Mapping[str, float]
 
 
 Decode = Callable[[str, bytes], object | None]
@@ -105,9 +121,10 @@
         """
         if source != STORE and changes.revision < self.revision:
             return
+        told = _Told(source, self._unseen_s(source, changes), changes.lapsing_s)
         changed = False
         for item in changes.items:
-            changed = self._take(item, source) or changed
+            changed = self._take(item, told) or changed
         self.revision = max(self.revision, changes.revision)
         self._has_read_store = self._has_read_store or source == STORE
         if changed:
@@ -130,7 +147,9 @@
             for item in held.values()
             if item.revision > revision
         ]
-        return Changes(found, self.revision)
+        now = self._clock()
+        lapsing_s = {key: until - now for key, until in self._lapsing.items()}
+        return Changes(found, self.revision, lapsing_s=lapsing_s)
 
     def sweep(self) -> None:
         """Drop the servers whose records lapsed and did not come back in time."""
@@ -143,12 +162,12 @@
         if due:
             self._tell()
 
-    def _take(self, item: Item, source: str) -> bool:
+    def _take(self, item: Item, told: _Told) -> bool:
         known = self._items.get(item.key) or self._removed.get(item.key)
         if known is not None and known.revision >= item.revision:
             return False
         if item.body is None:
-            return self._remove(item, source)
+            return self._remove(item, told)
         self._removed.pop(item.key, None)
         self._lapsing.pop(item.key, None)
         self._items[item.key] = item
@@ -157,15 +176,15 @@
         except (msgspec.MsgspecError, ValueError) as exc:
             journal.warning('item.unreadable', key=item.key, error=str(exc))
             return self._drop_server(item.key, 'unreadable record')
-        return self._adopt(item, record, source)
+        return self._adopt(item, record, told)
 
-    def _adopt(self, item: Item, record: object, source: str) -> bool:
+    def _adopt(self, item: Item, record: object, told: _Told) -> bool:
         if isinstance(record, routes.Configuration):
-            return self._adopt_configuration(record, item, source)
+            return self._adopt_configuration(record, item, told.source)
         if isinstance(record, servers.BackendServer):
-            return self._adopt_server(record, item, source)
+            return self._adopt_server(record, item, told.source)
         if isinstance(record, servers.WantedVersion):
-            return self._adopt_version(record, item, source)
+            return self._adopt_version(record, item, told)
         return False
 
     def _adopt_configuration(
@@ -215,28 +234,29 @@
         return True
 
     def _adopt_version(
-        self, record: servers.WantedVersion, item: Item, source: str
+        self, record: servers.WantedVersion, item: Item, told: _Told
     ) -> bool:
         version = pieces.Version(record.model, record.version)
-        unseen_s = self._unseen_s(source)
-        if not self.namings.learn(version, unseen_s):
+        if not self.namings.learn(version, told.unseen_s):
             return False
         journal.info(
             'version.named',
             model=record.model,
             version=record.version,
             revision=item.revision,
-            source=source,
-            known=not unseen_s,
+            source=told.source,
+            known=not told.unseen_s,
         )
         return True
 
-    def _unseen_s(self, source: str) -> float:
+    def _unseen_s(self, source: str, changes: Changes) -> float:
         """Return how long what a source tells may have been published unseen."""
         if source != STORE or not self._has_read_store:
             return math.inf
         gap_s = 0.0 if self._swept_at is None else self._clock() - self._swept_at
-        return gap_s if gap_s > GAP_S else self._gap_s
+        if gap_s <= GAP_S:
+            gap_s = self._gap_s
+        return max(gap_s, changes.unseen_s if changes.unseen_s > LOOK_S else 0.0)
 
     def _note_gap(self, now: float) -> None:
         if self._swept_at is not None and now - self._swept_at > GAP_S:
@@ -246,20 +266,25 @@
             self._gap_s = 0.0
         self._swept_at = now
 
-    def _remove(self, item: Item, source: str) -> bool:
+    def _remove(self, item: Item, told: _Told) -> bool:
         self._items.pop(item.key, None)
         self._removed[item.key] = item
         while len(self._removed) > HISTORY:
             oldest = self._removed.pop(next(iter(self._removed)))
             self._history_from = max(self._history_from, oldest.revision)
-        now = self._clock()
-        until = self._store_returned_at + LAPSE_GRACE_S
-        is_lapse = now - self._store_returned_at <= LAPSE_SEEN_S
-        if is_lapse and item.key in self._server_keys:
-            self._lapsing[item.key] = until
-            journal.info('server.lapsed', key=item.key, kept_s=round(until - now, 2))
+        kept_s = self._kept_s(item.key, told)
+        if kept_s > 0 and item.key in self._server_keys:
+            self._lapsing[item.key] = self._clock() + kept_s
+            journal.info('server.lapsed', key=item.key, kept_s=round(kept_s, 2))
             return False
-        return self._drop_server(item.key, f'removed, told by {source}')
+        return self._drop_server(item.key, f'removed, told by {told.source}')
+
+    def _kept_s(self, key: str, told: _Told) -> float:
+        """Return how much longer a removed item is kept, as it may come back."""
+        returned_s = self._clock() - self._store_returned_at
+        if returned_s <= LAPSE_SEEN_S:
+            return LAPSE_GRACE_S - returned_s
+        return told.lapsing_s.get(key, 0.0)
 
     def _drop_server(self, key: str, why: str) -> bool:
         server_id = self._server_keys.pop(key, None)
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -224,15 +224,18 @@
 
 
 class Items(msgspec.Struct, tag=23, array_like=True, frozen=True):
-    """Published items up to a revision, packed.
+    """Published items past a revision and up to another, packed.
 
-    `whole` tells that items which are missing here are gone.
+    `whole` tells that items which are missing here are gone. `lapsing_s` names removed
+    items that may come back, as the store was away, and for how long they are kept.
     """
 
     packed: bytes
+    after: int
     revision: int
     whole: bool
     named_ages_s: dict[str, float]
+    lapsing_s: dict[str, float] = {}
 
 
 class ServerState(msgspec.Struct, tag=24, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -35,6 +35,9 @@
 SWEEP_S = 0.2
 STOP_MARGIN_S = 0.6  # before the platform ends a process that is still there
 MAX_ADDRESSES = 64  # callers take no more
+# Of the least time in which a change must be in force, an entry that others feed hears
+# nothing for this share until it looks at the store itself.
+POLL_SHARE = 0.4
 QUIET_S = 0.3  # without a call, after the last caller may have come
 
 
@@ -53,11 +56,9 @@
         assumed_age_s = max(0.0, cfg.bounds.version_s - cfg.bounds.contact_s)
         self._view = view.View(made.decode, clocks.boot_time, assumed_age_s)
         self._metrics = metrics.make_metrics()
-        self._mesh = mesh.make_mesh(cfg, self._view, self._rand)
-        self._mesh.ready = lambda: self.ready
-        self._feed = feed.Feed(
-            self._view, self._mesh.mates, self._mesh.board, self._rand
-        )
+        self.mesh = mesh.make_mesh(cfg, self._view, self._rand)
+        self.mesh.ready = lambda: self.ready
+        self.feed = feed.Feed(self._view, self.mesh.mates, self.mesh.board, self._rand)
         self.table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
@@ -65,7 +66,8 @@
         self._queue = self._make_queue()
         self._relay = self._make_relay()
         self._door = doorway.Doorway(self._view, self._relay)
-        self._reader = reader.Reader(made.source, self._view, self._rand, self._clock)
+        self._reader = self._make_reader()
+        self.mesh.reads = lambda: self._reader.in_touch
         self._servers: list[httpserver.HTTPServer] = []
         self._noted: dict[str, int] = {}  # versions that were logged as required
         self._origin: depot.Origin | None = None
@@ -78,13 +80,13 @@
             ),
             self._rand,
         )
-        self._goals = goals.Goals(self._view, self._mesh, self._depot, clocks.boot_time)
-        self._mesh.mates.joined.append(self._goals.tell)
-        self._mesh.board.on(wire.ServerState, self._hear_server)
-        self._mesh.board.on(wire.Want, self._depot.serve)
+        self._goals = goals.Goals(self._view, self.mesh, self._depot, clocks.boot_time)
+        self.mesh.mates.joined.append(self._goals.tell)
+        self.mesh.board.on(wire.ServerState, self._hear_server)
+        self.mesh.board.on(wire.Want, self._depot.serve)
         self._metrics.gauge('origin_bytes', lambda: self._depot.origin_bytes)
         self._metrics.gauge('peer_bytes', lambda: self._depot.peer_bytes)
-        self._metrics.gauge('items_bytes', lambda: self.items_bytes)
+        self._metrics.gauge('items_bytes', lambda: self.feed.items_bytes)
         self._metrics.gauge('connections_opened', lambda: self._kept.opened)
         self._metrics.gauge('in_flight', lambda: self._door.in_flight)
         self._metrics.gauge('waiting', self._queue.waiting)
@@ -100,11 +102,6 @@
         conf = self._view.configuration
         return 0 if conf is None else conf.version
 
-    @property
-    def items_bytes(self) -> int:
-        """Return how many bytes of published items were sent to peers."""
-        return self._feed.items_bytes
-
     async def start(self) -> None:
         """Start every service."""
         spawn = self.kernel.spawn
@@ -112,10 +109,10 @@
         spawn(self._queue.run(), 'admission')
         spawn(self._relay.watcher.run(), 'watcher')
         spawn(self._sweep(), 'sweep')
-        spawn(self._mesh.run(), 'mesh')
-        spawn(self._feed.run(), 'feed')
+        spawn(self.mesh.run(), 'mesh')
+        spawn(self.feed.run(), 'feed')
         spawn(self._goals.run(), 'goals')
-        self._mesh.start()
+        self.mesh.start()
         front = self._adapter.front
         self._listen(front.calls(self._door), self.cfg.listen.callers)
         self._listen(front.ready(lambda: self.ready), self.cfg.listen.ready)
@@ -133,7 +130,7 @@
         gone_from = began + DIRECTORY_TTL_S * LATE_CALLERS
         ends_at = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
         self._door.leave(gone_from, ends_at)
-        self._mesh.leave()
+        self.mesh.leave()
         journal.info('entry.leaving', in_flight=self._door.in_flight)
         quiet_since = began
         while self._clock() < ends_at:
@@ -146,13 +143,13 @@
         for server in self._servers:
             server.stop()
         await self.kernel.stop()
-        await self._mesh.stop()
+        await self.mesh.stop()
         self._kept.close()
 
     def apply(self, cfg: node.Node) -> None:
         """Take changed settings."""
         self.cfg = cfg
-        self._mesh.reseed(cfg.seeds)
+        self.mesh.reseed(cfg.seeds)
 
     def _listen(
         self, app: httputil.HTTPServerConnectionDelegate, address: str | None
@@ -162,7 +159,7 @@
 
     def addresses(self) -> list[str]:
         """Return where callers may connect, in random order."""
-        found = [peer.card.callers for peer in self._mesh.entries()]
+        found = [peer.card.callers for peer in self.mesh.entries()]
         if self.ready and self.cfg.listen.callers is not None:
             found.append(self.cfg.listen.callers)
         self._rand.shuffle(found)
@@ -175,13 +172,25 @@
     def _fill_s(self, service: routes.Service) -> float | None:
         """Return how long the agents of a service take for a part of the weights."""
         engine = service.engine
-        agents = self._mesh.mates.alive('agent', service.name)
+        agents = self.mesh.mates.alive('agent', service.name)
         rates = [peer.card.link_bytes_per_s for peer in agents]
         if engine is None or not any(rates):
             return None
         part_bytes = engine.pieces * engine.piece_bytes / layers.PARTS
         return part_bytes / max(rates) + engine.load_s
 
+    def _make_reader(self) -> reader.Reader:
+        bounds = self.cfg.bounds
+        poll_s = POLL_SHARE * min(bounds.configuration_s, bounds.drain_s)
+        return reader.Reader(
+            self._adapter.source,
+            self._view,
+            self.feed,
+            poll_s,
+            self._rand,
+            self._clock,
+        )
+
     def _make_queue(self) -> admission.Admission:
         placer = placement.Placer(
             self.table,
@@ -199,7 +208,7 @@
             bounds.retry_ratio,
             bounds.retry_window_s,
             bounds.retry_extra,
-            self._mesh.entry_count,
+            self.mesh.entry_count,
             self._clock,
         )
         return relay.Relay(
@@ -220,7 +229,7 @@
     def _homes(self) -> list[homes.Peer]:
         found = [
             homes.Peer(peer.card.name, peer.card.region, peer.channel, peer.leaving)
-            for peer in self._mesh.serving()
+            for peer in self.mesh.serving()
         ]
         this = homes.Peer(self.cfg.name, self.cfg.region, None, self._door.leaving)
         return [*found, this]
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -473,6 +473,11 @@
             await server.stop()
         await self.store.stop()
 
+    async def lose(self, lost: entry.Entry) -> None:
+        """End an entry without a word to the others."""
+        await lost.kernel.stop()
+        await lost.mesh.stop()
+
     @property
     def entries(self) -> list[entry.Entry]:
         """Return every entry, the one that takes the calls last."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,13 +1,21 @@
 """Published items among entries: read from the store by few, passed on once."""
 
 import asyncio
+import json
+import random
+import zlib
 
+import msgspec
 import pytest
 from testtools import assertions, matchers
 
 import platformstand as stand
+from primrosesaddle.fleet import feed, view
+from primrosesaddle.membership import members, switchboard, wire
+from primrosesaddle.platform import records
 
 LARGE_ROUTES = 400
+SETTLED_S = 3.5  # until entries agree on who reads, and earlier watches have ended
 
 
 @pytest.fixture
@@ -56,7 +64,7 @@
         for data_centre in ('dc-1', 'dc-2', 'dc-2', 'dc-2'):
             await fleet.join(data_centre)
         await _all_adopt(fleet, 1)
-        await asyncio.sleep(3)
+        await asyncio.sleep(SETTLED_S)
         before = fleet.store.sent['op/config']
         fleet.store.put('op/config', _large(2))
         await _all_adopt(fleet, 2)
@@ -74,13 +82,115 @@
             await fleet.join()
         await fleet.join(store=stand.free_address())
         await _all_adopt(fleet, 1)
-        await asyncio.sleep(1)
-        before = [found.items_bytes for found in fleet.entries]
+        await asyncio.sleep(SETTLED_S)
+        before = [found.feed.items_bytes for found in fleet.entries]
         fleet.store.put('op/config', _large(2))
         await _all_adopt(fleet, 2)
         await asyncio.sleep(1)
-        after = [found.items_bytes for found in fleet.entries]
+        after = [found.feed.items_bytes for found in fleet.entries]
         sent = [now - then for now, then in zip(after, before, strict=True)]
         _same(sum(count > 0 for count in sent), 1)
 
     in_fleet(check)
+
+
+def test_entries_follow_a_change_that_their_reader_does_not_hear(in_fleet):
+    """Its watch fell silent; the others look at the store themselves in time."""
+
+    async def check(fleet):
+        for _ in range(3):
+            await fleet.join()
+        await _all_adopt(fleet, 1)
+        await asyncio.sleep(SETTLED_S)
+        fleet.store.mute = True
+        fleet.store.put('op/config', _large(2))
+        async with asyncio.timeout(fleet.cfg.bounds.configuration_s):
+            await _all_adopt(fleet, 2)
+
+    in_fleet(check)
+
+
+def test_entry_takes_over_when_the_reader_of_its_region_is_lost(in_fleet):
+    """One of those that are left waits at the store again."""
+
+    async def check(fleet):
+        for _ in range(3):
+            await fleet.join()
+        await _all_adopt(fleet, 1)
+        await asyncio.sleep(SETTLED_S)
+        _same(fleet.store.watching, 1)
+        lost = next(found for found in fleet.entries if found.feed.leads())
+        await fleet.lose(lost)
+        await asyncio.sleep(SETTLED_S)
+        left = [found for found in fleet.entries if found is not lost]
+        _same(sum(found.feed.leads() for found in left), 1)
+        _same(fleet.store.watching, 1)
+
+    in_fleet(check)
+
+
+class Peer:
+    """The channel of a peer, whose messages an entry's switchboard takes."""
+
+    def __init__(self, board):
+        self._board = board
+        self.card = _card('e2')
+        self.closed = False
+
+    def tell(self, packed, after, revision):
+        body = wire.Items(packed, after, revision, whole=False, named_ages_s={})
+        self._board.receive(self, 0, body)
+
+
+def _card(name):
+    return wire.Card(name, 'entry', f'{name}-1', '10.0.0.1:1', 'r1', 'd1')
+
+
+@pytest.fixture
+def fed():
+    """Return a function that runs a check with a view at revision 5 and a peer."""
+
+    def run(check):
+        async def main():
+            board = switchboard.Switchboard()
+            rand = random.Random(1)
+            mates = members.Members(_card('e1'), board.hooks(), None, rand)
+            seen = view.View(records.decode, lambda: 100.0, 5.0)
+            seen.apply(view.Changes([], 5), 'store')
+            feed.Feed(seen, mates, board, rand)
+            check(seen, Peer(board))
+
+        asyncio.run(main())
+
+    return run
+
+
+def _packed_version(number, revision):
+    body = json.dumps({'model': 'm', 'version': number}).encode()
+    return feed.pack([view.Item('op/version/m', body, revision)])
+
+
+def test_items_that_leave_something_out_are_not_taken(fed):
+    """What came before them is asked for instead."""
+
+    def check(seen, peer):
+        peer.tell(_packed_version(2, 9), after=7, revision=9)
+        _same((seen.revision, seen.namings.newest('m')), (5, 0))
+        peer.tell(_packed_version(2, 9), after=5, revision=9)
+        _same((seen.revision, seen.namings.newest('m')), (9, 2))
+
+    fed(check)
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [b'no items', feed.pack([])[:-1], zlib.compress(msgspec.msgpack.encode(7))],
+)
+def test_unreadable_items_change_nothing(fed, packed):
+    """They are cut off, or of another version of the program."""
+
+    def check(seen, peer):
+        peer.tell(packed, after=5, revision=9)
+        _same(seen.revision, 5)
+
+    fed(check)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -91,6 +91,27 @@
     _same(sorted(seen.servers), ['b'])
 
 
+def test_servers_that_lapse_are_kept_by_entries_that_a_peer_tells(seen, clock):
+    """The peer was first to hear from the store after an outage."""
+    seen.apply(view.Changes([_server('a', 4), _server('b', 5)], 5), 'store')
+    gone = [view.Item('servers/a', None, 6), view.Item('servers/b', None, 7)]
+    told = view.Changes(gone, 7, lapsing_s={'servers/a': 1.5})
+    seen.apply(told, 'peer')
+    _same(sorted(seen.servers), ['a'])
+    _same(seen.since(5).lapsing_s, {'servers/a': 1.5})
+    clock.now += 1.5
+    seen.sweep()
+    _same(seen.servers, {})
+
+
+def test_version_found_by_a_look_now_and_then_is_as_old_as_the_pause(seen, clock):
+    """It may have been named right after the look before."""
+    seen.apply(view.Changes([_server('a', 4)], 4), 'store')
+    seen.apply(view.Changes([_version(2, 5)], 5, unseen_s=1.2), 'store')
+    clock.now += 3.0
+    _same(seen.namings.required('m', 4.2), 2)
+
+
 def test_removal_some_time_after_an_outage_is_at_once(seen, clock):
     """What is removed once the store answers again has left by itself."""
     seen.apply(view.Changes([_server('a', 4)], 4), 'store')
