Let two entries read the store for all, and cross each link once

Cause: a reader in each region still has every configuration sent to it over the link between regions, in base64. One of 598,204 bytes took 0.4 to 0.8 s, and in that time the other entries of the region, which had heard nothing for 1.2 s, looked at the store and had it sent as well. Round trips rose to 0.97 s (path.slow, 15.9 to 16.6 s), and calls that were taken back 0.25 s before the bound began 0.05 s past it.

Now two entries wait at the store, those of the origin's region first, and one passes on what it read, compressed, to one entry of each other region, which passes it on there. The others ask the store for its revision alone, and wait to be told before they read.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -1,10 +1,11 @@
 """The feed: published items, as they pass from entry to entry."""
 
 import asyncio
+import collections
 import random
 import typing
 import zlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -16,7 +17,9 @@
 __all__ = ('READS', 'Feed', 'pack')
 
 READS = 'reads'  # the mark of an entry that the store answers
-READER = 'reader'  # the key by which entries choose who reads for a region
+READER = 'reader'  # the keys by which all choose the same entries for a duty
+RELAY = 'relay'
+READERS = 2  # entries that wait at the store; the first passes on what it reads
 
 # What a reader of the store passes on, or this process reads itself, is here by then.
 NEAR_LAG_S = 0.15
@@ -51,9 +54,14 @@
         seen: view.View,
         mates: members.Members,
         board: switchboard.Switchboard,
+        origin_region: Callable[[], str],
         rand: random.Random,
     ) -> None:
-        """Feed a view from peers, and peers from it."""
+        """Feed a view from peers, and peers from it.
+
+        Entries of the origin's region read the store for the others, if there are any.
+        """
+        self._origin_region = origin_region
         self._view = seen
         self._mates = mates
         self._rand = rand
@@ -74,24 +82,34 @@
             self._is_behind.clear()
             await self._catch_up()
 
-    def leads(self) -> bool:
-        """Tell whether this process reads the store for the entries of its region."""
-        mine = self._mates.card.name
-        reading = [
-            peer.card.name
-            for peer in self._fellows()
-            if READS in peer.live and not peer.leaving
-        ]
-        return rendezvous.first(READER, [mine, *reading]) == mine
+    def reads(self) -> bool:
+        """Tell whether this process is to wait at the store for changes."""
+        return self._mates.card.name in self._readers()
 
     def pass_on(self, after: int) -> None:
-        """Tell the entries of this region what was read past a revision."""
+        """Tell other entries what was read past a revision, if that is ours to do.
+
+        It goes to each entry of this region, and to one of each other region.
+        """
         if self._view.revision <= after or after < self._view.history_from:
             return
-        told = self._items_since(after, whole=False)
-        for peer in self._fellows():
-            peer.channel.send(told)
-            self.items_bytes += len(told.packed)
+        if self._readers()[0] == self._mates.card.name:
+            told = self._items_since(after, whole=False)
+            self._send([*self._fellows(), *self._relays()], told)
+
+    def _readers(self) -> list[str]:
+        """Return the names of the entries that read the store, the first leading."""
+        able = [
+            peer.card
+            for peer in self._mates.alive('entry')
+            if READS in peer.live and not peer.leaving
+        ]
+        able.append(self._mates.card)
+        region = self._origin_region()
+        near = [card.name for card in able if card.region == region]
+        far = [card.name for card in able if card.region != region]
+        found = [*rendezvous.order(READER, near), *rendezvous.order(READER, far)]
+        return found[:READERS]
 
     def _fellows(self) -> list[peers.Peer]:
         """Return the other entries of this region."""
@@ -100,6 +118,19 @@
             peer for peer in self._mates.alive('entry') if peer.card.region == region
         ]
 
+    def _relays(self) -> list[peers.Peer]:
+        """Return an entry of each other region, which passes on what it hears."""
+        far: dict[str, dict[str, peers.Peer]] = collections.defaultdict(dict)
+        for peer in self._mates.alive('entry'):
+            if peer.card.region != self._mates.card.region and not peer.leaving:
+                far[peer.card.region][peer.card.name] = peer
+        return [found[rendezvous.order(RELAY, found)[0]] for found in far.values()]
+
+    def _send(self, receivers: Sequence[peers.Peer], told: wire.Items) -> None:
+        for peer in receivers:
+            peer.channel.send(told)
+            self.items_bytes += len(told.packed)
+
     def _hear(self, channel: link.Channel, rid: int, body: wire.Items) -> None:
         """Take what a peer read, unless something before it is missing here.
 
@@ -112,6 +143,8 @@
         # A reader that stood still tells what others have told meanwhile.
         if body.revision > known:
             self.fed_at = self._clock()
+            if channel.card.region != self._mates.card.region:
+                self._send(self._fellows(), body)
 
     def _note_revision(self, channel: link.Channel, revision: int) -> None:
         card = channel.card
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -1,8 +1,8 @@
 """The reader: keeps the view in step with the platform's store.
 
-One entry of a region waits at the store for changes, and passes them on to the others
-there, so that a large item crosses the links between regions once. The others look at
-the store themselves when they have heard nothing for a while.
+Few entries wait at the store for changes, and what they read is passed on to the
+others, so that a large item does not cross the links between regions once an entry.
+The others ask the store now and then whether they have heard of everything.
 """
 
 import asyncio
@@ -20,8 +20,12 @@
 # Each waiting watch is a priced call. An entry that is fed by another one from now on
 # has a watch of its own for as long.
 WAIT_S = 2.0
-LOOK_S = 0.1  # between looks at whether this entry is still fed by another
-HISTORY_TRIES = 2  # of an entry that is fed, until it reads everything itself
+# Of the least time in which a change must be in force: an entry that has heard nothing
+# for the first share asks the store whether something has changed. If so, it waits for
+# the second share to be told what, and reads it then.
+CHECK_SHARE = 0.4
+TOLD_SHARE = 0.3
+LOOK_S = 0.1  # between looks at what other entries have told
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
@@ -36,6 +40,9 @@
     async def wait_changes(self, after: int, wait_s: float) -> view.Changes | None:
         """Return the changes past a revision, or None when they are gone."""
 
+    async def revision(self) -> int:
+        """Return the revision of the newest change."""
+
 
 class Reader:
     """Read everything once, then follow the changes."""
@@ -45,21 +52,20 @@
         source: Source,
         seen: view.View,
         fellows: feed.Feed,
-        poll_s: float,
+        bound_s: float,
         rand: random.Random,
         clock: Callable[[], float],
     ) -> None:
         """Prepare to keep a view in step with a source.
 
-        An entry that `fellows` feed looks at the source itself when it has heard
-        nothing for `poll_s`.
+        `bound_s` is the least time in which a change must be in force.
         """
         self._source = source
         self._view = seen
         self._feed = fellows
-        self._poll_s = poll_s
+        self._check_s = CHECK_SHARE * bound_s
+        self._told_s = TOLD_SHARE * bound_s
         self._read_at = 0.0
-        self._missed = 0
         self._rand = rand
         self._clock = clock
         self._failures = 0
@@ -98,9 +104,9 @@
 
     def _is_fed(self) -> bool:
         """Tell whether another entry has told lately what it read."""
-        if not self.in_touch or self._feed.leads():
+        if not self.in_touch or self._feed.reads():
             return False
-        return self._clock() - self._last_seen_at < self._poll_s
+        return self._clock() - self._last_seen_at < self._check_s
 
     @property
     def _last_seen_at(self) -> float:
@@ -110,8 +116,10 @@
         before = self._view.revision
         if self._after is None:
             await self._read_all()
+        elif self._feed.reads() or self._failures:
+            await self._read_changes()
         else:
-            await self._read_changes(max(before, self._after))
+            await self._check()
         if before:
             self._feed.pass_on(before)
 
@@ -124,29 +132,32 @@
             'store.read', items=len(snapshot.items), revision=snapshot.revision
         )
 
-    async def _read_changes(self, after: int) -> None:
+    async def _read_changes(self) -> None:
+        after = max(self._view.revision, self._after or 0)
         unseen_s = 0.0 if self._failures else self._clock() - self._last_seen_at
-        changes = await self._source.wait_changes(after, self._wait_s())
+        wait_s = WAIT_S if self._feed.reads() and not self._failures else 0.0
+        changes = await self._source.wait_changes(after, wait_s)
+        self._note_success()
         if changes is None:
-            await self._note_history_gone(after)
+            journal.info('store.history_gone', after=after)
+            self._after = None
             return
-        self._note_success()
         self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
         self._after = max(after, changes.revision)
 
-    async def _note_history_gone(self, after: int) -> None:
-        """Read everything next, or let the entry that does so pass it on."""
+    async def _check(self) -> None:
+        """Ask whether something has changed that nobody has told."""
+        revision = await self._source.revision()
+        until = self._clock() + self._told_s
+        while self._view.revision < revision:
+            if self._clock() >= until:
+                journal.info(
+                    'store.untold', revision=revision, known=self._view.revision
+                )
+                await self._read_changes()
+                return
+            await asyncio.sleep(LOOK_S)
         self._note_success()
-        self._missed += 1
-        journal.info('store.history_gone', after=after)
-        if self._feed.leads() or self._missed >= HISTORY_TRIES:
-            self._after = None
-            return
-        await asyncio.sleep(self._poll_s / 2)
-
-    def _wait_s(self) -> float:
-        """Return how long a watch may wait; after a failure it must answer at once."""
-        return WAIT_S if self._feed.leads() and not self._failures else 0.0
 
     def _note_failure(self, exc: call.CallFailed) -> None:
         self._failures += 1
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -91,6 +91,17 @@
             [_item(item) for item in found.events], found.store_revision
         )
 
+    async def revision(self) -> int:
+        """Return the revision of the newest change of any item.
+
+        Raises `call.CallFailed`.
+        """
+        # The few small items under this prefix come along.
+        query = urllib.parse.urlencode({'prefix': names.VERSION_PREFIX})
+        target = f'{names.RANGE_PATH}?{query}'
+        page = await self._get(self._reads, target, READ_TIMEOUT_S, _RANGE)
+        return int(page.store_revision)
+
     async def _get(
         self,
         client: call.Client,
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -35,9 +35,6 @@
 SWEEP_S = 0.2
 STOP_MARGIN_S = 0.6  # before the platform ends a process that is still there
 MAX_ADDRESSES = 64  # callers take no more
-# Of the least time in which a change must be in force, an entry that others feed hears
-# nothing for this share until it looks at the store itself.
-POLL_SHARE = 0.4
 QUIET_S = 0.3  # without a call, after the last caller may have come
 
 
@@ -58,7 +55,13 @@
         self._metrics = metrics.make_metrics()
         self.mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self.mesh.ready = lambda: self.ready
-        self.feed = feed.Feed(self._view, self.mesh.mates, self.mesh.board, self._rand)
+        self.feed = feed.Feed(
+            self._view,
+            self.mesh.mates,
+            self.mesh.board,
+            lambda: self._goals.origin_region(),
+            self._rand,
+        )
         self.table = backends.Backends(self._clock)
         self._view.listeners.append(self._update)
         self._kept = pool.make_pool()
@@ -181,12 +184,11 @@
 
     def _make_reader(self) -> reader.Reader:
         bounds = self.cfg.bounds
-        poll_s = POLL_SHARE * min(bounds.configuration_s, bounds.drain_s)
         return reader.Reader(
             self._adapter.source,
             self._view,
             self.feed,
-            poll_s,
+            min(bounds.configuration_s, bounds.drain_s),
             self._rand,
             self._clock,
         )
