--- /dev/null
+++ b/src/primrosesaddle/staging/choice.py
@@ -0,0 +1,94 @@
+"""The choice: what an engine loads next, and when, of the versions that are wanted."""
+
+import dataclasses
+import typing
+from collections.abc import Iterator, Sequence
+
+from primrosesaddle.core import layers
+from primrosesaddle.staging import namings, pieces
+
+__all__ = ('LAST_TURN_MARGIN_S', 'Fetched', 'Goal', 'Load', 'next_load')
+
+# The last server switches this long before a version is required: calls that it
+# has taken have begun by then.
+LAST_TURN_MARGIN_S = 0.8
+NEARLY_WHOLE = 0.8  # share of the newest version from which an older is passed over
+
+
+class Fetched(typing.Protocol):
+    """What is held of each version in an agent's memory."""
+
+    def is_whole(self, version: pieces.Version) -> bool:
+        """Tell whether every piece of a version is held."""
+
+    def share(self, version: pieces.Version) -> float:
+        """Return the share of a version's pieces that is held."""
+
+    def holds(self, version: pieces.Version, span: layers.Span) -> bool:
+        """Tell whether every piece of some layers is held."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Goal:
+    """The version to hold, and when it was named.
+
+    `place` is this server's, from 0 to 1, in the order in which servers switch;
+    `part` is the part of the layers that it loads first while it holds none.
+    """
+
+    version: pieces.Version
+    naming: namings.Naming
+    place: float = 0.0
+    layer_count: int = 0
+    part: int = 0
+
+    @property
+    def all_layers(self) -> layers.Span:
+        """Return the span of all layers, whose number may not be known."""
+        return layers.whole(self.layer_count, self.version.number)
+
+    @property
+    def parts(self) -> tuple[layers.Span, ...]:
+        """Return the parts of the layers, the one to load first leading."""
+        found = layers.parts(self.layer_count, self.version.number)
+        first = self.part % len(found)
+        return found[first:] + found[:first]
+
+
+class Load(typing.NamedTuple):
+    """Layers to load, and the goal that they serve."""
+
+    goal: Goal
+    span: layers.Span
+
+
+def next_load(
+    goals: Sequence[Goal], held: layers.Span | None, fetched: Fetched
+) -> Load | None:
+    """Return what is fetched: a whole version, or a part to begin with.
+
+    `goals` are in order of their versions, `held` is what the engine has loaded.
+    """
+    loaded = layers.whole_version(held, goals[-1].layer_count)
+    found = next(_whole(goals, loaded, fetched), None)
+    if found is None and held is None:
+        found = next(_parts(goals[-1], fetched), None)
+    return found
+
+
+def _whole(goals: Sequence[Goal], loaded: int, fetched: Fetched) -> Iterator[Load]:
+    """Yield whole versions, the newest first, unless a newer one nearly is whole."""
+    for goal in reversed(goals):
+        if goal.version.number <= loaded:
+            return
+        if fetched.is_whole(goal.version):
+            yield Load(goal, goal.all_layers)
+        elif loaded and fetched.share(goal.version) > NEARLY_WHOLE:
+            return
+
+
+def _parts(goal: Goal, fetched: Fetched) -> Iterator[Load]:
+    """Yield the parts of a version, this server's first."""
+    for span in goal.parts:
+        if fetched.holds(goal.version, span):
+            yield Load(goal, span)
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -10,15 +10,12 @@
 from primrosesaddle.core import layers
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import area, depot, fetches, namings, pieces
+from primrosesaddle.staging import area, choice, depot, fetches, namings, pieces
 from primrosesaddle.telemetry import journal
 
-__all__ = ('Engine', 'EngineState', 'Goal', 'Keeper', 'make_goal')
+__all__ = ('Engine', 'EngineState', 'Keeper', 'make_goal')
 
 LOOK_S = 0.12  # between reports, which are free on the same machine
-# The last server switches this long before a version is required: calls that it
-# has taken have begun by then.
-LAST_TURN_MARGIN_S = 0.8
 ORDER_RETRY_S = 0.3  # an order that began shows in the report by then
 UNREACHABLE_LOOKS = 2  # failed reports in a row before a server counts as gone
 TELL_S = 0.2  # between reports to entries when nothing changed
@@ -26,7 +23,6 @@
 # took a third of its processor time with 14 entries.
 REPORTS_PER_S = 40
 TELL_CEILING_S = 0.35  # entries take a report for stale after 0.8 s
-NEARLY_WHOLE = 0.8  # share of the newest version from which an older is passed over
 KEPT_GOALS = 3
 LOADING_S = 0.4  # from the last piece of a part to the report that it is loaded
 
@@ -55,33 +51,6 @@
         """Order that these layers be held, and return whether that was accepted."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Goal:
-    """The version to hold, and when it was named.
-
-    `place` is this server's, from 0 to 1, in the order in which servers switch;
-    `part` is the part of the layers that it loads first while it holds none.
-    """
-
-    version: pieces.Version
-    naming: namings.Naming
-    place: float = 0.0
-    layer_count: int = 0
-    part: int = 0
-
-    @property
-    def all_layers(self) -> layers.Span:
-        """Return the span of all layers, whose number may not be known."""
-        return layers.whole(self.layer_count, self.version.number)
-
-    @property
-    def parts(self) -> tuple[layers.Span, ...]:
-        """Return the parts of the layers, the one to load first leading."""
-        found = layers.parts(self.layer_count, self.version.number)
-        first = self.part % len(found)
-        return found[first:] + found[:first]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Order:
     """An order that was sent; `alongside` when the engine serves on meanwhile."""
@@ -119,7 +88,7 @@
         self._tell = tell
         self._audience = audience
         self._clock = clock
-        self._goals: list[Goal] = []
+        self._goals: list[choice.Goal] = []
         self._area = area.Area(engine, source, clock)
         self._state: EngineState | None = None
         self._failed_looks = 0
@@ -127,7 +96,7 @@
         self._told: wire.ServerState | None = None
         self._told_at = 0.0
 
-    def aim(self, goal: Goal) -> None:
+    def aim(self, goal: choice.Goal) -> None:
         """Take a version that is wanted; an older one than the newest is ignored."""
         newest = self._goals[-1] if self._goals else None
         if newest is not None and newest.version.model == goal.version.model:
@@ -201,52 +170,29 @@
         if state is None or state.busy:
             return
         try:
-            await self._bring_next(newest, loaded, held)
+            await self._bring_next(loaded, held)
         except call.CallFailed as exc:
             self._area.forget()
             journal.warning('engine.call_failed', error=str(exc))
 
-    async def _bring_next(self, newest: Goal, loaded: int, held: _Held) -> None:
-        """Bring about what is fetched: a whole version, or parts to begin with."""
-        chosen = self._next_goal(loaded)
-        if chosen is not None:
-            await self._bring(chosen, loaded, held)
-        elif held is None:
-            await self._bring_part(newest)
-
-    def _next_goal(self, loaded: int) -> Goal | None:
-        """Return the newest goal that is fetched, unless a newer one nearly is."""
-        for goal in reversed(self._goals):
-            if goal.version.number <= loaded:
-                return None
-            if self._fetches.is_whole(goal.version):
-                return goal
-            if loaded and self._fetches.share(goal.version) > NEARLY_WHOLE:
-                return None
-        return None
-
-    async def _bring(self, goal: Goal, loaded: int, held: _Held) -> None:
-        """Load a version that is fetched whole, in turn if another one serves."""
-        await self._area.stage(goal.version, goal.all_layers)
+    async def _bring_next(self, loaded: int, held: _Held) -> None:
+        """Load what is fetched, in turn if another version serves."""
+        found = choice.next_load(self._goals, held, self._fetches)
+        if found is None:
+            return
+        goal, span = found
+        await self._area.stage(goal.version, span)
         if loaded and self._clock() < self._turn(goal):
             return
-        await self._load(goal, goal.all_layers, held)
-
-    async def _bring_part(self, goal: Goal) -> None:
-        """Load the first part that is fetched, and serve with it before the rest."""
-        for span in goal.parts:
-            if self._fetches.holds(goal.version, span):
-                await self._area.stage(goal.version, span)
-                await self._load(goal, span, None)
-                return
+        await self._load(goal, span, held)
 
-    def _turn(self, goal: Goal) -> float:
+    def _turn(self, goal: choice.Goal) -> float:
         """Return when this server may switch, in its turn before the bound."""
-        last = goal.naming.named_at + self._bound_s - LAST_TURN_MARGIN_S
+        last = goal.naming.named_at + self._bound_s - choice.LAST_TURN_MARGIN_S
         spread_s = max(0.0, last - self._area.ended_at)
         return self._area.ended_at + spread_s * goal.place
 
-    async def _load(self, goal: Goal, span: layers.Span, held: _Held) -> None:
+    async def _load(self, goal: choice.Goal, span: layers.Span, held: _Held) -> None:
         wanted = goal.version
         order = self._order
         if order is not None and (order.version, order.span) == (wanted, span):
@@ -341,7 +287,7 @@
 
 def make_goal(
     version: pieces.Version, told: wire.Goal, clock: Callable[[], float]
-) -> Goal:
+) -> choice.Goal:
     """Return the goal that an entry told."""
     naming = namings.Naming(clock() - told.age_s, told.age_known)
-    return Goal(version, naming, told.place, told.layer_count, told.part)
+    return choice.Goal(version, naming, told.place, told.layer_count, told.part)
