Switch before the bound of an older version that a server skips

Two versions are named seconds apart, and a server that holds neither has both fetched and waits for its turn. The turn for the newer one was spread up to that one's bound, so the server stayed on its old weights past the bound of the version between. Entries send it nothing then, so it served nobody; a call that was late on its way could still begin on the old weights, which VERSION forbids.

Cause: the keeper reckoned the turn from the goal that it was about to load, and each version has its own bound. Staging a second version also moved the begin of the spread.

Evidence: test_turn_of_a_newer_version_is_before_the_bound_of_an_older_one, versions 2 and 3 named 2.5 s apart.

The turn now ends before the first bound of any version that is newer than the one that serves. As the begin of the spread only moves the turn within that, staging anew cannot push it past the bound.

--- a/src/primrosesaddle/staging/choice.py
+++ b/src/primrosesaddle/staging/choice.py
@@ -1,13 +1,14 @@
 """The choice: what an engine loads next, and when, of the versions that are wanted."""
 
 import dataclasses
+import math
 import typing
 from collections.abc import Iterator, Sequence
 
 from primrosesaddle.core import layers
 from primrosesaddle.staging import namings, pieces
 
-__all__ = ('LAST_TURN_MARGIN_S', 'Fetched', 'Goal', 'Load', 'next_load')
+__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'next_load')
 
 # The last server switches this long before a version is required: calls that it
 # has taken have begun by then.
@@ -62,6 +63,15 @@
     span: layers.Span
 
 
+def last_turn(goals: Sequence[Goal], held: int, bound_s: float) -> float:
+    """Return until when an engine that holds a version may serve, by any newer one.
+
+    `bound_s` is the age in seconds from which a version is required.
+    """
+    named = [goal.naming.named_at for goal in goals if goal.version.number > held]
+    return min(named, default=math.inf) + bound_s - LAST_TURN_MARGIN_S
+
+
 def next_load(
     goals: Sequence[Goal], held: layers.Span | None, fetched: Fetched
 ) -> Load | None:
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -182,15 +182,15 @@
             return
         goal, span = found
         await self._area.stage(goal.version, span)
-        if loaded and self._clock() < self._turn(goal):
+        if loaded and self._clock() < self._turn(loaded, goal.place):
             return
         await self._load(goal, span, held)
 
-    def _turn(self, goal: choice.Goal) -> float:
+    def _turn(self, loaded: int, place: float) -> float:
         """Return when this server may switch, in its turn before the bound."""
-        last = goal.naming.named_at + self._bound_s - choice.LAST_TURN_MARGIN_S
+        last = choice.last_turn(self._goals, loaded, self._bound_s)
         spread_s = max(0.0, last - self._area.ended_at)
-        return self._area.ended_at + spread_s * goal.place
+        return self._area.ended_at + spread_s * place
 
     async def _load(self, goal: choice.Goal, span: layers.Span, held: _Held) -> None:
         wanted = goal.version
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -409,6 +409,22 @@
     in_keeper(check, engine, origin)
 
 
+def test_turn_of_a_newer_version_is_before_the_bound_of_an_older_one(in_keeper):
+    """A server that skips a version switches before that one's bound."""
+    engine = FakeEngine(loaded=1)
+
+    async def check(kept, told):
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        kept.aim(_goal(2, age_s=2.5, place=0.95))
+        kept.aim(_goal(3, place=0.95))
+        await _until(lambda: engine.orders)
+        assert 0.4 <= clock() - began < 1.5
+        _same(engine.orders, [(3, True)])
+
+    in_keeper(check, engine, FakeOrigin(), bound_s=4.0)
+
+
 def test_rotten_piece_of_a_part_is_staged_again(in_keeper):
     """No part is ordered while one of its staged pieces is spoilt."""
     engine = FakeEngine()
