Never give up a part of a newer version for an older one

An engine that had loaded a part of version 3 while it was empty went back to version 2 when that was fetched whole, and served older weights again. Its agent also began to fetch version 2 anew, on the link that version 3 still came over.

Cause: a part counted as nothing when the keeper chose what to load and what to fetch, so every version that was newer than nothing was wanted.

Evidence: test_part_of_a_newer_version_is_not_given_up_for_an_older_one.

Only versions that bring the engine further are wanted now: the one of which it holds a part, and newer ones.

--- a/src/primrosesaddle/staging/choice.py
+++ b/src/primrosesaddle/staging/choice.py
@@ -8,7 +8,7 @@
 from primrosesaddle.core import layers
 from primrosesaddle.staging import namings, pieces
 
-__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'next_load')
+__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'newer', 'next_load')
 
 # The last server switches this long before a version is required: calls that it
 # has taken have begun by then.
@@ -72,6 +72,16 @@
     return min(named, default=math.inf) + bound_s - LAST_TURN_MARGIN_S
 
 
+def newer(goals: Sequence[Goal], held: layers.Span | None) -> list[Goal]:
+    """Return the goals that bring an engine further, the newest first."""
+    number = 0 if held is None else held.version
+    return [
+        goal
+        for goal in reversed(goals)
+        if goal.version.number >= number and not layers.covers(held, goal.all_layers)
+    ]
+
+
 def next_load(
     goals: Sequence[Goal], held: layers.Span | None, fetched: Fetched
 ) -> Load | None:
@@ -79,26 +89,26 @@
 
     `goals` are in order of their versions, `held` is what the engine has loaded.
     """
+    wanted = newer(goals, held)
     loaded = layers.whole_version(held, goals[-1].layer_count)
-    found = next(_whole(goals, loaded, fetched), None)
+    found = next(_whole(wanted, loaded, fetched), None)
     if found is None and held is None:
-        found = next(_parts(goals[-1], fetched), None)
+        found = next(_parts(wanted[:1], fetched), None)
     return found
 
 
-def _whole(goals: Sequence[Goal], loaded: int, fetched: Fetched) -> Iterator[Load]:
+def _whole(wanted: Sequence[Goal], loaded: int, fetched: Fetched) -> Iterator[Load]:
     """Yield whole versions, the newest first, unless a newer one nearly is whole."""
-    for goal in reversed(goals):
-        if goal.version.number <= loaded:
-            return
+    for goal in wanted:
         if fetched.is_whole(goal.version):
             yield Load(goal, goal.all_layers)
         elif loaded and fetched.share(goal.version) > NEARLY_WHOLE:
             return
 
 
-def _parts(goal: Goal, fetched: Fetched) -> Iterator[Load]:
-    """Yield the parts of a version, this server's first."""
-    for span in goal.parts:
-        if fetched.holds(goal.version, span):
-            yield Load(goal, span)
+def _parts(wanted: Sequence[Goal], fetched: Fetched) -> Iterator[Load]:
+    """Yield the parts of versions, this server's part first."""
+    for goal in wanted:
+        for span in goal.parts:
+            if fetched.holds(goal.version, span):
+                yield Load(goal, span)
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -164,9 +164,8 @@
         loaded = layers.whole_version(held, newest.layer_count)
         if loaded == newest.version.number:
             return
-        for goal in self._goals:
-            if goal.version.number > loaded:
-                self._fetches.want(goal.version, newest.parts[0])
+        for goal in choice.newer(self._goals, held):
+            self._fetches.want(goal.version, newest.parts[0])
         if state is None or state.busy:
             return
         try:
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -409,6 +409,19 @@
     in_keeper(check, engine, origin)
 
 
+class HalfOrigin(FakeOrigin):
+    """An origin that has only some pieces of the versions it names."""
+
+    def __init__(self, **has):
+        super().__init__()
+        self.has = {int(name[1:]): count for name, count in has.items()}
+
+    async def piece(self, version, index):
+        if index >= self.has.get(version.number, PIECES):
+            raise call.CallFailed('not there yet')
+        return await super().piece(version, index)
+
+
 def test_turn_of_a_newer_version_is_before_the_bound_of_an_older_one(in_keeper):
     """A server that skips a version switches before that one's bound."""
     engine = FakeEngine(loaded=1)
@@ -425,6 +438,22 @@
     in_keeper(check, engine, FakeOrigin(), bound_s=4.0)
 
 
+def test_part_of_a_newer_version_is_not_given_up_for_an_older_one(in_keeper):
+    """Weights that were loaded are not replaced by older ones."""
+    engine = FakeEngine()
+    engine.models = {MODEL: layers.Span(0, 2, 3)}
+    origin = HalfOrigin(v3=PIECES // 2)
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        kept.aim(_goal(3))
+        await asyncio.sleep(1)
+        _same(engine.spans, [])
+        _same({number for number, _ in origin.reads}, {3})
+
+    in_keeper(check, engine, origin, bound_s=8.0)
+
+
 def test_rotten_piece_of_a_part_is_staged_again(in_keeper):
     """No part is ordered while one of its staged pieces is spoilt."""
     engine = FakeEngine()
