Load an older version at its bound though a newer one nearly is fetched

With versions 2 and 3 named 3 s apart, a server that had version 2 staged kept serving version 1 past the bound of version 2 whenever more than four fifths of version 3 were held but the rest did not come: no call could begin there, and a call that was late on its way could begin on version 1, which VERSION forbids.

Cause: an older version is passed over for one that is nearly whole, to spare a switch, without a look at the bound of the one that is passed over.

Evidence: test_older_version_is_loaded_at_its_bound_though_a_newer_one_nearly_is_fetched.

From the time at which nothing may begin on the loaded weights any more, whatever is whole is loaded; up to that time a nearly fetched version is waited for as before.

--- a/src/primrosesaddle/staging/choice.py
+++ b/src/primrosesaddle/staging/choice.py
@@ -8,7 +8,7 @@
 from primrosesaddle.core import layers
 from primrosesaddle.staging import namings, pieces
 
-__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'newer', 'next_load')
+__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'newer', 'next_load', 'required')
 
 # The last server switches this long before a version is required: calls that it
 # has taken have begun by then.
@@ -82,27 +82,45 @@
     ]
 
 
+def required(goals: Sequence[Goal], now: float, bound_s: float) -> int:
+    """Return the version below which an engine begins nothing more, 0 for none."""
+    age_s = bound_s - LAST_TURN_MARGIN_S
+    old = [goal.version.number for goal in goals if now >= goal.naming.named_at + age_s]
+    return max(old, default=0)
+
+
 def next_load(
-    goals: Sequence[Goal], held: layers.Span | None, fetched: Fetched
+    goals: Sequence[Goal],
+    held: layers.Span | None,
+    least: int,
+    fetched: Fetched,
 ) -> Load | None:
     """Return what is fetched: a whole version, or a part to begin with.
 
-    `goals` are in order of their versions, `held` is what the engine has loaded.
+    `goals` are in order of their versions, `held` is what the engine has loaded, and
+    `least` the version below which it begins nothing more.
     """
     wanted = newer(goals, held)
     loaded = layers.whole_version(held, goals[-1].layer_count)
-    found = next(_whole(wanted, loaded, fetched), None)
+    if loaded >= max(1, least):
+        return next(_whole(wanted, fetched, nearly=NEARLY_WHOLE), None)
+    found = next(_whole(wanted, fetched), None)
     if found is None and held is None:
         found = next(_parts(wanted[:1], fetched), None)
     return found
 
 
-def _whole(wanted: Sequence[Goal], loaded: int, fetched: Fetched) -> Iterator[Load]:
-    """Yield whole versions, the newest first, unless a newer one nearly is whole."""
+def _whole(
+    wanted: Sequence[Goal], fetched: Fetched, nearly: float = 1.0
+) -> Iterator[Load]:
+    """Yield whole versions, the newest first.
+
+    Older ones are passed over when more than a share of a newer one is held.
+    """
     for goal in wanted:
         if fetched.is_whole(goal.version):
             yield Load(goal, goal.all_layers)
-        elif loaded and fetched.share(goal.version) > NEARLY_WHOLE:
+        elif fetched.share(goal.version) > nearly:
             return
 
 
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -176,7 +176,8 @@
 
     async def _bring_next(self, loaded: int, held: _Held) -> None:
         """Load what is fetched, in turn if another version serves."""
-        found = choice.next_load(self._goals, held, self._fetches)
+        least = choice.required(self._goals, self._clock(), self._bound_s)
+        found = choice.next_load(self._goals, held, least, self._fetches)
         if found is None:
             return
         goal, span = found
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -422,6 +422,26 @@
         return await super().piece(version, index)
 
 
+def test_older_version_is_loaded_at_its_bound_though_a_newer_one_nearly_is_fetched(
+    in_keeper,
+):
+    """Each version has a bound; the first to pass is not left out for a newer one."""
+    engine = FakeEngine(loaded=1)
+    origin = HalfOrigin(v3=PIECES - 1)
+
+    async def check(kept, told):
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        kept.aim(_goal(2, age_s=0.3, place=0.95))
+        await _until(lambda: len(engine.staged) == PIECES)
+        kept.aim(_goal(3))
+        await _until(lambda: engine.orders)
+        assert clock() - began < 1.2
+        _same(engine.orders[0], (2, True))
+
+    in_keeper(check, engine, origin, bound_s=1.5)
+
+
 def test_turn_of_a_newer_version_is_before_the_bound_of_an_older_one(in_keeper):
     """A server that skips a version switches before that one's bound."""
     engine = FakeEngine(loaded=1)
