Order a part past the bound, so that nothing begins on older weights

The calls were sent in time, and were under way for seconds on a full link between regions; the close that takes a call back waited behind them.

Cause: an engine took whatever arrived as long as it had not been ordered to load something else, and its agent ordered nothing until it held a whole copy. Where that comes after the bound, nothing but the margins of the entries kept the rule, and these reckon with a way of milliseconds.

Evidence: test_engine_begins_nothing_on_older_weights_past_their_bound, with a whole older version and with a part of one, and test_engine_past_the_bound_loads_the_other_part_when_its_own_is_missing had no order within 20 s while pieces of the newer version were missing.

From 0.8 s before the bound, when entries send nothing to older weights any more, the agent orders a whole version that may serve, else a part of the newest of which one is held, else a whole version that is newer than what is loaded. An engine that has accepted an order begins nothing on what it held. Before that time it gets no part, as before. An engine that is empty now also takes a part of an older version that may still serve, if none of the newest is there. Where nothing loadable is held there is nothing to order.

--- a/src/primrosesaddle/staging/choice.py
+++ b/src/primrosesaddle/staging/choice.py
@@ -104,10 +104,11 @@
     loaded = layers.whole_version(held, goals[-1].layer_count)
     if loaded >= max(1, least):
         return next(_whole(wanted, fetched, nearly=NEARLY_WHOLE), None)
-    found = next(_whole(wanted, fetched), None)
-    if found is None and held is None:
-        found = next(_parts(wanted[:1], fetched), None)
-    return found
+    allowed = [goal for goal in wanted if goal.version.number >= least]
+    found = next(_whole(allowed, fetched), None)
+    if found is None and (held is None or held.version < least):
+        found = next(_parts(allowed, fetched), None)
+    return found or next(_whole(wanted, fetched), None)
 
 
 def _whole(
