Fetch nothing that is older than a version in memory

An agent whose engine restarted, or did not answer for two looks, read every older version again that it still kept a goal for, 2.1 MB each, over the link on which the answers of its server travel.

Cause: an engine that holds nothing wants every version, and older ones had been dropped from memory when the newest was loaded.

Evidence: test_nothing_older_than_what_is_in_memory_is_fetched_for_a_restarted_engine. The 8 pieces of version 2 were read again beside 16 that had been needed.

Goals are gone through from the newest on, and end at the first that is held whole.

--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -166,6 +166,8 @@
             return
         for goal in choice.newer(self._goals, held):
             self._fetches.want(goal.version, newest.parts[0])
+            if self._fetches.is_whole(goal.version):
+                break  # what is older is of no use
         if state is None or state.busy:
             return
         try:
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -226,6 +226,27 @@
     in_keeper(check, engine, origin)
 
 
+def test_nothing_older_than_what_is_in_memory_is_fetched_for_a_restarted_engine(
+    in_keeper,
+):
+    """A version that was superseded and dropped does not fill the link again."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        await _until(lambda: engine.orders)
+        kept.aim(_goal(3))
+        await _until(lambda: told and told[-1].models == {MODEL: _whole(3)})
+        read = len(origin.reads)
+        engine.restart()
+        await _until(lambda: engine.models)
+        await asyncio.sleep(0.3)
+        _same((engine.orders[-1], len(origin.reads)), ((3, True), read))
+
+    in_keeper(check, engine, origin, bound_s=0.8)
+
+
 def test_version_named_while_the_last_is_on_its_way(in_keeper):
     """The newest version is brought about; no order loads a mixture."""
     engine = FakeEngine(loaded=1)
