Fetch versions in the order of their bounds

An engine whose agent has no whole copy when the bound of its version comes serves nobody, and begins on older weights what arrives late (VERSION).

Cause: a fetch stood back for a newer version's until it had 0.3 of its pieces, and was fetched to its end after that, whether or not it could be in time. So two versions that could both be in time shared the link, and one that could not held up the newer one.

Now the version that is due first is fetched first, if it can be whole in time at the rate of late; versions that cannot follow, the newest first. test_older_version_is_fetched_first_while_both_can_be_in_time read pieces of versions 2, 3 and 2 before; the other test, where version 2 cannot be in time, had it fetched to its end before. Found by reading.

--- a/src/primrosesaddle/staging/choice.py
+++ b/src/primrosesaddle/staging/choice.py
@@ -8,7 +8,16 @@
 from primrosesaddle.core import layers
 from primrosesaddle.staging import namings, pieces
 
-__all__ = ('Fetched', 'Goal', 'Load', 'last_turn', 'newer', 'next_load', 'required')
+__all__ = (
+    'Fetched',
+    'Goal',
+    'Load',
+    'due',
+    'last_turn',
+    'newer',
+    'next_load',
+    'required',
+)
 
 # The last server switches this long before a version is required: calls that it
 # has taken have begun by then.
@@ -63,13 +72,18 @@
     span: layers.Span
 
 
-def last_turn(goals: Sequence[Goal], held: int, bound_s: float) -> float:
-    """Return until when an engine that holds a version may serve, by any newer one.
+def due(goal: Goal, bound_s: float) -> float:
+    """Return from when on an engine begins nothing that is older than a goal.
 
     `bound_s` is the age in seconds from which a version is required.
     """
-    named = [goal.naming.named_at for goal in goals if goal.version.number > held]
-    return min(named, default=math.inf) + bound_s - LAST_TURN_MARGIN_S
+    return goal.naming.named_at + bound_s - LAST_TURN_MARGIN_S
+
+
+def last_turn(goals: Sequence[Goal], held: int, bound_s: float) -> float:
+    """Return until when an engine that holds a version may serve, by any newer one."""
+    newer_due = [due(goal, bound_s) for goal in goals if goal.version.number > held]
+    return min(newer_due, default=math.inf)
 
 
 def newer(goals: Sequence[Goal], held: layers.Span | None) -> list[Goal]:
@@ -84,8 +98,7 @@
 
 def required(goals: Sequence[Goal], now: float, bound_s: float) -> int:
     """Return the version below which an engine begins nothing more, 0 for none."""
-    age_s = bound_s - LAST_TURN_MARGIN_S
-    old = [goal.version.number for goal in goals if now >= goal.naming.named_at + age_s]
+    old = [goal.version.number for goal in goals if now >= due(goal, bound_s)]
     return max(old, default=0)
 
 
--- a/src/primrosesaddle/staging/fetches.py
+++ b/src/primrosesaddle/staging/fetches.py
@@ -1,7 +1,10 @@
-"""Fetches of whole versions into an agent's memory, the newest first."""
+"""Fetches of whole versions into an agent's memory, in the order of their bounds."""
 
 import asyncio
 import collections
+import itertools
+import math
+import operator
 from collections.abc import Callable
 
 from primrosesaddle.core import layers
@@ -10,11 +13,9 @@
 
 __all__ = ('Fetches',)
 
-# A fetch that brought nothing for this long is passed by an older version's.
+# A fetch that brought nothing for this long is passed by the next one.
 STALLED_S = 0.3
-# An older version is finished first once this share of it is held: it serves if the
-# newer one is held up, and delays it by no more than the newer has until its bound.
-FINISH_SHARE = 0.3
+RATE_WINDOW_S = 2.0  # over which the rate of pieces is measured
 POLL_S = 0.05
 READERS = 2  # of pieces at once, so that the link is busy between two
 PASSED_BY = 8  # pieces that are tried before one that was not there
@@ -24,10 +25,11 @@
 class _Fetch:
     """The fetch of one version."""
 
-    def __init__(self, now: float, span: layers.Span) -> None:
+    def __init__(self, now: float, span: layers.Span, due: float) -> None:
         self.began_at = now
         self.moved_at = now
         self.span = span
+        self.due = due
         self.digests: pieces.Digests | None = None
         self.held: set[int] = set()
         self.task: asyncio.Task[None] | None = None
@@ -36,9 +38,13 @@
     def total(self) -> int:
         return 0 if self.digests is None else len(self.digests.pieces)
 
+    @property
+    def missing(self) -> int:
+        return self.total - len(self.held)
+
     @property
     def whole(self) -> bool:
-        return self.total > 0 and len(self.held) == self.total
+        return self.total > 0 and not self.missing
 
 
 class Fetches:
@@ -49,12 +55,20 @@
         self._source = source
         self._clock = clock
         self._fetches: dict[pieces.Version, _Fetch] = {}
+        self._arrivals: collections.deque[float] = collections.deque()
 
-    def want(self, version: pieces.Version, first: layers.Span) -> None:
-        """Begin to fetch a version, some layers first, unless that has begun."""
-        if version in self._fetches:
+    def want(
+        self, version: pieces.Version, first: layers.Span, due: float = math.inf
+    ) -> None:
+        """Begin to fetch a version, some layers first, unless that has begun.
+
+        `due` is when it must be loaded, by the clock.
+        """
+        known = self._fetches.get(version)
+        if known is not None:
+            known.due = due
             return
-        begun = _Fetch(self._clock(), first)
+        begun = _Fetch(self._clock(), first, due)
         self._fetches[version] = begun
         begun.task = asyncio.create_task(self._run(version, begun))
 
@@ -108,7 +122,7 @@
         self, version: pieces.Version, begun: _Fetch, missing: collections.deque[int]
     ) -> None:
         while missing:
-            while self._newer_moves(version) or self._older_ends(version):
+            while self._stands_back(version):
                 await asyncio.sleep(POLL_S)
             if not missing:
                 return
@@ -120,28 +134,41 @@
                 continue
             begun.held.add(index)
             begun.moved_at = self._clock()
+            self._arrivals.append(begun.moved_at)
 
-    def _newer_moves(self, version: pieces.Version) -> bool:
-        """Tell whether a fetch stands back for one of a newer version."""
+    def _stands_back(self, version: pieces.Version) -> bool:
+        """Tell whether a fetch waits for one that goes before it and moves."""
         now = self._clock()
-        if self.share(version) >= FINISH_SHARE:
-            return False
-        return any(
-            other.model == version.model
-            and other.number > version.number
-            and not fetch.whole
-            and now - fetch.moved_at < STALLED_S
-            for other, fetch in self._fetches.items()
-        )
-
-    def _older_ends(self, version: pieces.Version) -> bool:
-        """Tell whether a fetch waits for one of an older version that is well on."""
+        for other in self._in_turn(version.model):
+            if other == version:
+                return False
+            if now - self._fetches[other].moved_at < STALLED_S:
+                return True
+        return False
+
+    def _in_turn(self, model: str) -> list[pieces.Version]:
+        """Return the versions that are not whole in the order of their fetches.
+
+        Those that can be whole when they are due come first, the oldest leading, as it
+        is due first. Of the others the newest is of the most use.
+        """
+        unfinished = [
+            version
+            for version, fetch in self._fetches.items()
+            if version.model == model and not fetch.whole
+        ]
+        wanted = sorted(unfinished, key=operator.attrgetter('number'))
         now = self._clock()
-        return any(
-            other.model == version.model
-            and other.number < version.number
-            and not fetch.whole
-            and self.share(other) >= FINISH_SHARE
-            and now - fetch.moved_at < STALLED_S
-            for other, fetch in self._fetches.items()
-        )
+        piece_s = self._piece_s(now)
+        found = [self._fetches[version] for version in wanted]
+        is_in_time = [now + fetch.missing * piece_s <= fetch.due for fetch in found]
+        in_time = itertools.compress(wanted, is_in_time)
+        late = itertools.compress(wanted, map(operator.not_, is_in_time))
+        return [*in_time, *reversed(list(late))]
+
+    def _piece_s(self, now: float) -> float:
+        """Return the time between two pieces of late, 0 when none came."""
+        while self._arrivals and now - self._arrivals[0] > RATE_WINDOW_S:
+            self._arrivals.popleft()
+        count = len(self._arrivals)
+        return (now - self._arrivals[0]) / count if count else 0.0
--- a/src/primrosesaddle/staging/keeper.py
+++ b/src/primrosesaddle/staging/keeper.py
@@ -165,7 +165,8 @@
         if loaded == newest.version.number:
             return
         for goal in choice.newer(self._goals, held):
-            self._fetches.want(goal.version, newest.parts[0])
+            due = choice.due(goal, self._bound_s)
+            self._fetches.want(goal.version, newest.parts[0], due)
             if self._fetches.is_whole(goal.version):
                 break  # what is older is of no use
         if state is None or state.busy:
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -1,6 +1,7 @@
 """Weights on their way: depots, fetches and keepers against small fakes."""
 
 import asyncio
+import itertools
 import dataclasses
 import hashlib
 import random
@@ -263,6 +264,44 @@
     in_keeper(check, engine, origin)
 
 
+def _numbers_read(origin):
+    """Return the versions whose pieces were read, in order, without repeats."""
+    numbers = [number for number, index in origin.reads if index >= 0]
+    return [number for number, _ in itertools.groupby(numbers)]
+
+
+def test_older_version_is_fetched_first_while_both_can_be_in_time(in_keeper):
+    """Fetched in turns by pieces, both would be late."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+    origin.delay_s = 0.2
+
+    async def check(kept, told):
+        kept.aim(_goal(2))
+        await _until(lambda: origin.reads)
+        kept.aim(_goal(3))
+        await _until(lambda: len(origin.reads) >= 2 * PIECES)
+        _same(_numbers_read(origin), [2, 3])
+
+    in_keeper(check, engine, origin, bound_s=8.0)
+
+
+def test_newest_version_is_fetched_first_when_an_older_one_cannot_be_in_time(in_keeper):
+    """What comes after its bound is of no use."""
+    engine = FakeEngine(loaded=1)
+    origin = FakeOrigin()
+    origin.delay_s = 0.2
+
+    async def check(kept, told):
+        kept.aim(_goal(2, age_s=6.9))
+        await _until(lambda: len(origin.reads) > 3)
+        kept.aim(_goal(3))
+        await _until(lambda: len(set(origin.reads)) >= 2 * PIECES)
+        _same(_numbers_read(origin), [2, 3, 2])
+
+    in_keeper(check, engine, origin, bound_s=8.0)
+
+
 def test_older_version_serves_while_the_newest_is_held_up(in_keeper):
     """An origin that goes away leaves the servers on the version before."""
     engine = FakeEngine(loaded=1)
