Compare failures only of servers that fail often

Each choice of a server sorted the failures of all servers once for each of them, to find those that fail far more often than usual. None whose own share is below the bound can be one, so the others need not be looked at. What is chosen stays the same.

--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -197,6 +197,8 @@
 
     def is_ejected(self, backend: Backend) -> bool:
         """Tell whether a server fails far more often than its service."""
+        if backend.failures < EJECT_SHARE:
+            return False
         fellows = self.of(backend.record.service)
         usual = sorted(other.failures for other in fellows)[len(fellows) // 2]
         if backend.failures - usual < EJECT_SHARE:
