Pass over an item that is nested too deeply

Callers of every entry would see an old configuration and old servers for good: an item under servers/, op/config or op/version/ with 5,000 nested lists (10 KB) ended the reader of each entry.

Cause: msgspec raises RecursionError for it, also within a field that it skips. That is neither a MsgspecError nor a ValueError, so it left view.apply and reader.run, and kernel.spawn logs task.failed and starts nothing again.

The adapter turns it into the ValueError that its callers expect: the item is logged as unreadable and names nothing, and the others hold.

--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -143,6 +143,13 @@
 
     Raises `msgspec.MsgspecError` or `ValueError` when the item cannot be read.
     """
+    try:
+        return _decode(key, body)
+    except RecursionError:
+        raise ValueError('the item is nested too deeply') from None
+
+
+def _decode(key: str, body: bytes) -> Record | None:
     if key == names.CONFIG_KEY:
         return _configuration(_CONFIG.decode(body))
     if key.startswith(names.VERSION_PREFIX):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -261,6 +261,15 @@
     _same(seen.history_from, 6)
 
 
+def test_record_that_is_nested_too_deeply_names_no_server(seen):
+    """The decoder gives up on it with an error of another kind."""
+    deep = b'[' * 5000 + b']' * 5000
+    body = (_server('a', 6).body or b'')[:-1] + b', "more": ' + deep + b'}'
+    found = [view.Item('servers/a', body, 6), _server('b', 7)]
+    seen.apply(view.Changes(found, 7), 'store')
+    _same((sorted(seen.servers), seen.revision), (['b'], 7))
+
+
 @pytest.mark.parametrize(
     'change',
     [
