Tell peers everything after a whole read that skipped changes

Callers could be sent to a server for good that had left, and whose address another service may use by then.

Cause: an entry that read everything a second time (after a pause, or when the store had forgotten its history) took itself to know every removal since its first read. A server that was published and removed in between it never knew, so it held no removal of it. A peer at a revision in between that did know the server asked for changes, was given no removal, took the later revision, and asked the store for what came after that.

In the test one entry reads all at 10 and at 20, the other learns of a server at 12 which is removed before 20. The changes that an entry can tell now begin at the revision of its last whole read that was ahead of it; whoever is behind that gets everything, and drops what is missing there.

--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -109,7 +109,8 @@
             for key, item in self._items.items()
             if key not in present and item.revision <= snapshot.revision
         ]
-        if not self.revision:
+        if snapshot.revision > self.revision:
+            # What came and went in between is not among the removals.
             self._history_from = snapshot.revision
         self.apply(Changes([*snapshot.items, *absent], snapshot.revision), source)
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -270,6 +270,16 @@
     _same((sorted(seen.servers), seen.revision), (['b'], 7))
 
 
+def test_peer_gets_all_from_one_that_read_past_a_removal(seen, clock):
+    """The server came and went between two whole reads, so only the peer knew it."""
+    peer = view.View(records.decode, clock, 5.0)
+    for each in (seen, peer):
+        each.replace(view.Snapshot([], 10), 'store')
+    peer.apply(view.Changes([_server('a', 12)], 12), 'store')
+    seen.replace(view.Snapshot([], 20), 'store')
+    assertions.assert_that(seen.history_from, matchers.GreaterThan(peer.revision))
+
+
 @pytest.mark.parametrize(
     'change',
     [
