Keep the reader and the feed running after an unexpected error

Callers of an entry would see its configuration and servers of some moment for good, while it goes on to say that it is ready.

Cause: only a failed call was caught. The mark that the entry reads the store stayed, so others went by it as a reader.

Both log the error and go on. For the reader it counts as a failed read, so the entry is not chosen to read for others while it lasts.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -80,7 +80,13 @@
         while True:
             await self._is_behind.wait()
             self._is_behind.clear()
-            await self._catch_up()
+            try:
+                await self._catch_up()
+            except Exception as exc:
+                # Nothing starts this task again; each message of a peer that is
+                # ahead sets the event.
+                journal.error('feed.failed', error=repr(exc))
+                await asyncio.sleep(RETRY_S)
 
     def reads(self) -> bool:
         """Tell whether this process is to wait at the store for changes."""
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -80,13 +80,18 @@
                 continue
             try:
                 await self._step()
+                continue
             except call.CallFailed as exc:
                 self._note_failure(exc)
-                await asyncio.sleep(
-                    backoff.delay_s(
-                        self._failures, RETRY_FIRST_S, RETRY_CEILING_S, self._rand
-                    )
+            except Exception as exc:
+                # Nothing starts this task again; other entries read meanwhile.
+                journal.error('reader.failed', error=repr(exc))
+                self._note_failure(exc)
+            await asyncio.sleep(
+                backoff.delay_s(
+                    self._failures, RETRY_FIRST_S, RETRY_CEILING_S, self._rand
                 )
+            )
 
     async def refresh(self) -> None:
         """Read everything now, as after this process stood still."""
@@ -159,7 +164,7 @@
             await asyncio.sleep(LOOK_S)
         self._note_success()
 
-    def _note_failure(self, exc: call.CallFailed) -> None:
+    def _note_failure(self, exc: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
             self._failing_since = self._clock()
--- /dev/null
+++ b/tests/test_reader.py
@@ -0,0 +1,142 @@
+"""The reader: what it asks of the store, and what it makes of late answers."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from testtools import assertions, matchers
+
+from primrosesaddle.fleet import reader, view
+from primrosesaddle.net import call
+from primrosesaddle.platform import records
+
+BOUND_S = 2.0
+READ_S = 0.3  # until a slow read is answered
+
+
+class Store:
+    """A source that answers by what tests set; `asked` tells what was asked of it."""
+
+    def __init__(self):
+        self.items = []
+        self.newest = 5
+        self.asked = []
+        self.faults = []
+        self.slow_s = 0.0
+        self.forgotten = False
+
+    async def read_all(self):
+        await self._answer('all')
+        return view.Snapshot(list(self.items), self.newest)
+
+    async def wait_changes(self, after, wait_s):
+        await self._answer('changes')
+        if self.forgotten:
+            self.forgotten = False
+            return None
+        if after >= self.newest:
+            await asyncio.sleep(wait_s)
+        return view.Changes(
+            [item for item in self.items if item.revision > after], self.newest
+        )
+
+    async def revision(self):
+        await self._answer('revision')
+        return self.newest
+
+    async def _answer(self, kind):
+        self.asked.append(kind)
+        await asyncio.sleep(self.slow_s)
+        if self.faults:
+            raise self.faults.pop(0)
+
+
+class Feed:
+    """What a reader knows of other entries."""
+
+    def __init__(self):
+        self.fed_at = 0.0
+        self.is_reader = False
+
+    def reads(self):
+        return self.is_reader
+
+    def pass_on(self, after):
+        """Tell nobody."""
+
+
+class Stand:
+    """A reader over a scripted store."""
+
+    def __init__(self):
+        clock = asyncio.get_running_loop().time
+        self.store = Store()
+        self.feed = Feed()
+        self.seen = view.View(records.decode, clock, 5.0)
+        self.reader = reader.Reader(
+            self.store, self.seen, self.feed, BOUND_S, random.Random(1), clock
+        )
+
+
+@pytest.fixture
+def reading():
+    """Return a function that runs a check beside a reader."""
+
+    def run(check):
+        async def main():
+            stand = Stand()
+            task = asyncio.create_task(stand.reader.run())
+            try:
+                await check(stand)
+            finally:
+                task.cancel()
+
+        asyncio.run(main())
+
+    return run
+
+
+def _same(found, expected):
+    assertions.assert_that(found, matchers.Equals(expected))
+
+
+async def _until(check):
+    for _ in range(500):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError('the state was not reached')
+
+
+def _server(name, revision):
+    body = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'sequence': 1,
+    }
+    return view.Item(f'servers/{name}', json.dumps(body).encode(), revision)
+
+
+def _version(number, revision):
+    body = json.dumps({'model': 'm', 'version': number}).encode()
+    return view.Item('op/version/m', body, revision)
+
+
+def test_reader_goes_on_after_an_unexpected_error(reading):
+    """Nothing starts it again, and the entry would keep what it knew then."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.feed.is_reader = True
+        stand.store.faults.append(KeyError('unforeseen'))
+        stand.store.items.append(_server('a', 6))
+        stand.store.newest = 6
+        await _until(lambda: 'a' in stand.seen.servers)
+
+    reading(check)
