Read after a start or a pause only what is not known yet

Cause: an entry read every item until one such read was whole, though peers had told it everything meanwhile, and so did each entry that woke.

Now an entry that a peer has told goes on from the revision that it has, and one that woke asks for the changes since. Only where the store has forgotten them is everything read again. In the tests the second question of an entry that starts was 'all' and is 'changes', and that of one that woke likewise.

The first read of entries that start together is as it was.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -71,6 +71,10 @@
         self._failures = 0
         self._failing_since = 0.0
         self._after: int | None = None
+        # The store no longer has the changes past this revision. Everything is read,
+        # unless a peer has told what this process lacks: all entries at once would
+        # fill the links between regions for longer than a read may take.
+        self._gone_until = 0
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
@@ -94,13 +98,16 @@
             )
 
     async def refresh(self) -> None:
-        """Read everything now, as after this process stood still."""
+        """Read now what has changed, as after this process stood still."""
+        after = self._view.revision
         try:
-            snapshot = await self._source.read_all()
+            changes = await self._source.wait_changes(after, 0.0) if after else None
+            if changes is None:
+                self._view.replace(await self._source.read_all(), view.STORE)
+            else:
+                self._view.apply(changes, view.STORE)
         except call.CallFailed as exc:
             journal.info('store.not_refreshed', error=str(exc))
-            return
-        self._view.replace(snapshot, view.STORE)
 
     @property
     def in_touch(self) -> bool:
@@ -119,9 +126,9 @@
 
     async def _step(self) -> None:
         before = self._view.revision
-        if self._after is None:
+        if self._after is None and before <= self._gone_until:
             await self._read_all()
-        elif self._feed.reads() or self._failures:
+        elif self._after is None or self._feed.reads() or self._failures:
             await self._read_changes()
         else:
             await self._check()
@@ -140,12 +147,14 @@
     async def _read_changes(self) -> None:
         after = max(self._view.revision, self._after or 0)
         unseen_s = 0.0 if self._failures else self._clock() - self._last_seen_at
-        wait_s = WAIT_S if self._feed.reads() and not self._failures else 0.0
+        waits = self.in_touch and self._feed.reads()
+        wait_s = WAIT_S if waits else 0.0
         changes = await self._source.wait_changes(after, wait_s)
         self._note_success()
         if changes is None:
             journal.info('store.history_gone', after=after)
             self._after = None
+            self._gone_until = after
             return
         self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
         self._after = max(after, changes.revision)
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -140,3 +140,46 @@
         await _until(lambda: 'a' in stand.seen.servers)
 
     reading(check)
+
+
+def test_entry_that_starts_does_not_read_again_what_a_peer_told(reading):
+    """All entries that start would fill a link for longer than a read may take."""
+
+    async def check(stand):
+        stand.store.slow_s = READ_S
+        stand.store.faults.append(call.CallFailed('took too long'))
+        await _until(lambda: stand.store.asked)
+        stand.seen.replace(view.Snapshot([_server('a', 4)], 4), 'peer')
+        await _until(lambda: stand.reader.in_touch)
+        _same((stand.store.asked, stand.seen.revision), (['all', 'changes'], 5))
+
+    reading(check)
+
+
+def test_entry_that_stood_still_reads_what_has_changed(reading):
+    """All that wake at once would fill a link with what they know already."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.store.asked.clear()
+        stand.store.items.append(_server('a', 6))
+        stand.store.newest = 6
+        await stand.reader.refresh()
+        _same((stand.store.asked, list(stand.seen.servers)), (['changes'], ['a']))
+
+    reading(check)
+
+
+def test_entry_that_woke_after_history_is_gone_reads_everything(reading):
+    """The changes since then cannot be told."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.store.asked.clear()
+        stand.store.items.append(_server('a', 6))
+        stand.store.newest = 6
+        stand.store.forgotten = True
+        await stand.reader.refresh()
+        _same((stand.store.asked, list(stand.seen.servers)), (['changes', 'all'], ['a']))
+
+    reading(check)
