Count the time of a read into the age of what it finds

Callers could see calls begin on an older version later than its bound, by up to what a read of the store takes (2 s at most), and requests handled by an older configuration up to 0.6 s later than the design allows for.

Causes, all in how long an entry takes itself not to have looked: - the age of a version that a look finds was counted up to the question, not to the answer; a version that is named in between comes with the answer; - a look that found something new counted from the end of its wait to be told (0.6 s), so the next one came 1.4 s after the question instead of 0.8 s; - one lost answer counted as an outage, after which a version is taken for new; - a read that took more than 0.8 s after a pause replaced the length of the pause by its own.

What an answer tells is now true from the question on, unless a watch waited. Also after a watch that was cut a version counts from the last answer, up to 2 s, until a process that saw it named tells better.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -136,8 +136,9 @@
             self._feed.pass_on(before)
 
     async def _read_all(self) -> None:
+        began = self._clock()
         snapshot = await self._source.read_all()
-        self._note_success()
+        self._note_success(began)
         self._view.replace(snapshot, view.STORE)
         self._after = snapshot.revision
         journal.info(
@@ -146,11 +147,16 @@
 
     async def _read_changes(self) -> None:
         after = max(self._view.revision, self._after or 0)
-        unseen_s = 0.0 if self._failures else self._clock() - self._last_seen_at
         waits = self.in_touch and self._feed.reads()
-        wait_s = WAIT_S if waits else 0.0
-        changes = await self._source.wait_changes(after, wait_s)
-        self._note_success()
+        seen_at = self._last_seen_at
+        began = self._clock()
+        changes = await self._source.wait_changes(after, WAIT_S if waits else 0.0)
+        answered = self._clock()
+        # A watch that waited tells of a change at once.
+        unseen_s = (began if waits else answered) - seen_at
+        if self._is_outage:
+            unseen_s = 0.0
+        self._note_success(answered if waits else began)
         if changes is None:
             journal.info('store.history_gone', after=after)
             self._after = None
@@ -161,6 +167,7 @@
 
     async def _check(self) -> None:
         """Ask whether something has changed that nobody has told."""
+        began = self._clock()
         revision = await self._source.revision()
         until = self._clock() + self._told_s
         while self._view.revision < revision:
@@ -171,7 +178,7 @@
                 await self._read_changes()
                 return
             await asyncio.sleep(LOOK_S)
-        self._note_success()
+        self._note_success(began)
 
     def _note_failure(self, exc: Exception) -> None:
         self._failures += 1
@@ -179,13 +186,18 @@
             self._failing_since = self._clock()
             journal.warning('store.lost', error=str(exc))
 
-    def _note_success(self) -> None:
-        self._read_at = self._clock()
+    @property
+    def _is_outage(self) -> bool:
+        """Tell whether the store was away, and not one watch cut."""
+        return self._failures >= OUTAGE_FAILURES
+
+    def _note_success(self, known_at: float) -> None:
+        """Note that the store answered; what it told was so at a time or later."""
+        if self._is_outage:
+            self._view.note_store_returned()
+        self._read_at = known_at
         if not self._failures:
             return
-        # One failure is a watch that was cut; an outage fails the retry as well.
-        if self._failures >= OUTAGE_FAILURES:
-            self._view.note_store_returned()
         self._failures = 0
         away_s = round(self._clock() - self._failing_since, 3)
         journal.info('store.regained', away_s=away_s)
--- a/src/primrosesaddle/fleet/view.py
+++ b/src/primrosesaddle/fleet/view.py
@@ -255,8 +255,10 @@
         if source != STORE or not self._has_read_store:
             return math.inf
         gap_s = 0.0 if self._swept_at is None else self._clock() - self._swept_at
-        if gap_s <= GAP_S:
-            gap_s = self._gap_s
+        if self._gap_s:
+            gap_s += self._gap_s
+        elif gap_s <= GAP_S:
+            gap_s = 0.0
         return max(gap_s, changes.unseen_s if changes.unseen_s > LOOK_S else 0.0)
 
     def _note_gap(self, now: float) -> None:
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -10,6 +10,7 @@
 from primrosesaddle.fleet import reader, view
 from primrosesaddle.net import call
 from primrosesaddle.platform import records
+from primrosesaddle.staging import pieces
 
 BOUND_S = 2.0
 READ_S = 0.3  # until a slow read is answered
@@ -70,14 +71,17 @@
     """A reader over a scripted store."""
 
     def __init__(self):
-        clock = asyncio.get_running_loop().time
+        self.clock = asyncio.get_running_loop().time
         self.store = Store()
         self.feed = Feed()
-        self.seen = view.View(records.decode, clock, 5.0)
+        self.seen = view.View(records.decode, self.clock, 5.0)
         self.reader = reader.Reader(
-            self.store, self.seen, self.feed, BOUND_S, random.Random(1), clock
+            self.store, self.seen, self.feed, BOUND_S, random.Random(1), self.clock
         )
 
+    def age_s(self, version):
+        return self.clock() - self.seen.namings.of(version).named_at
+
 
 @pytest.fixture
 def reading():
@@ -183,3 +187,60 @@
         _same((stand.store.asked, list(stand.seen.servers)), (['changes', 'all'], ['a']))
 
     reading(check)
+
+
+def test_version_that_is_named_during_a_slow_read_is_as_old_as_the_read(reading):
+    """It may have been named right after the last look."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.store.slow_s = 4 * READ_S
+        await _until(lambda: stand.store.asked[-1] == 'revision')
+        named_at = stand.clock()
+        stand.store.items.append(_version(2, 6))
+        stand.store.newest = 6
+        await _until(lambda: stand.seen.namings.newest('m') == 2)
+        age_s = stand.clock() - named_at
+        found_s = stand.age_s(pieces.Version('m', 2))
+        assertions.assert_that(found_s, matchers.GreaterThan(age_s - 0.1))
+
+    reading(check)
+
+
+def test_lost_answer_does_not_make_a_version_new(reading):
+    """It may have been named before the question that was not answered."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        asked_at = stand.clock()
+        stand.store.slow_s = READ_S
+        stand.store.faults.append(call.CallFailed('lost'))
+        stand.store.items.append(_version(2, 6))
+        stand.store.newest = 6
+        await _until(lambda: stand.seen.namings.newest('m') == 2)
+        age_s = stand.clock() - asked_at
+        found_s = stand.age_s(pieces.Version('m', 2))
+        assertions.assert_that(found_s, matchers.GreaterThan(age_s - 0.1))
+
+    reading(check)
+
+
+def test_wait_to_be_told_does_not_put_off_the_next_look(reading):
+    """What changed during the wait must be in force in time as well."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.store.newest = 6
+        await _until(lambda: stand.store.asked[-1] == 'revision')
+        await asyncio.sleep(0.5)
+        changed_at = stand.clock()
+        stand.seen.apply(view.Changes([], 6), 'peer')
+        stand.feed.fed_at = changed_at - 0.5
+        stand.store.items.append(_server('a', 7))
+        stand.store.newest = 7
+        await _until(lambda: 'a' in stand.seen.servers)
+        late_s = stand.clock() - changed_at
+        most_s = (reader.CHECK_SHARE + reader.TOLD_SHARE) * BOUND_S
+        assertions.assert_that(late_s, matchers.LessThan(most_s))
+
+    reading(check)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -206,6 +206,18 @@
     _same(seen.namings.known_ages_s(), {})
 
 
+def test_slow_read_after_a_pause_does_not_shorten_the_pause(seen, clock):
+    """A version may have been named at the beginning of the pause."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'store')
+    seen.sweep()
+    clock.now += 4.0
+    seen.sweep()
+    clock.now += 1.0
+    seen.replace(view.Snapshot([_version(3, 9)], 9), 'store')
+    clock.now += 3.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
 def test_first_read_of_the_store_after_a_peer_told_is_no_sight(seen, clock):
     """A peer that lags behind does not make the first read a later one."""
     seen.replace(view.Snapshot([_version(2, 4)], 4), 'peer')
