Notice an outage of the store that is silent, or loses its history

Callers could be refused by an entry for about two seconds after an outage of the store, since it knew no server.

Cause: servers whose records lapsed in an outage are kept for 2.2 s after it, if the entry knows of the outage and reads within 0.3 s of its end. It did not know when one watch was silent for 4 s and the retry was answered, as an outage was two failures in a row. And where the history was gone, the answer that said so ended the outage, and the read of everything came too late across a full link.

An answer after one failure now ends an outage too if the last one was 3.5 s before, and history that is gone ends none: the read of everything does. In both tests the server was dropped at once before.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -28,6 +28,8 @@
 LOOK_S = 0.1  # between looks at what other entries have told
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
+# A watch is silent for 4 s until it fails, a look for 3 s at most since the last answer.
+OUTAGE_S = 3.5
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
 
 
@@ -65,7 +67,7 @@
         self._feed = fellows
         self._check_s = CHECK_SHARE * bound_s
         self._told_s = TOLD_SHARE * bound_s
-        self._read_at = 0.0
+        self._read_at = clock()
         self._rand = rand
         self._clock = clock
         self._failures = 0
@@ -156,12 +158,13 @@
         unseen_s = (began if waits else answered) - seen_at
         if self._is_outage:
             unseen_s = 0.0
-        self._note_success(answered if waits else began)
         if changes is None:
+            # The end of an outage is noted with the read of everything that follows.
             journal.info('store.history_gone', after=after)
             self._after = None
             self._gone_until = after
             return
+        self._note_success(answered if waits else began)
         self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
         self._after = max(after, changes.revision)
 
@@ -189,7 +192,10 @@
     @property
     def _is_outage(self) -> bool:
         """Tell whether the store was away, and not one watch cut."""
-        return self._failures >= OUTAGE_FAILURES
+        silent_s = self._clock() - self._last_seen_at
+        return self._failures >= OUTAGE_FAILURES or (
+            self._failures > 0 and silent_s >= OUTAGE_S
+        )
 
     def _note_success(self, known_at: float) -> None:
         """Note that the store answered; what it told was so at a time or later."""
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -244,3 +244,46 @@
         assertions.assert_that(late_s, matchers.LessThan(most_s))
 
     reading(check)
+
+
+async def _outlast(stand, changed):
+    """Remove a server, let the reader find out, and return whether it is kept."""
+    stand.store.items.append(_server('a', 6))
+    stand.store.newest = 6
+    await _until(lambda: 'a' in stand.seen.servers)
+    await changed()
+    await _until(lambda: stand.seen.revision == 7 and stand.reader.in_touch)
+    return 'a' in stand.seen.servers
+
+
+def test_server_that_lapsed_is_kept_when_history_is_gone_too(reading):
+    """The read of everything after an outage may take longer than that of changes."""
+
+    async def check(stand):
+        async def change():
+            stand.store.items.clear()
+            stand.store.newest = 7
+            stand.store.slow_s = READ_S + view.LAPSE_SEEN_S
+            stand.store.faults += [call.CallFailed('down'), call.CallFailed('down')]
+            stand.store.forgotten = True
+
+        _same(await _outlast(stand, change), True)
+
+    reading(check)
+
+
+def test_server_that_lapsed_is_kept_after_an_outage_of_one_silent_watch(reading):
+    """The store is back before a second read could fail."""
+
+    async def check(stand):
+        async def change():
+            stand.store.items[:] = [view.Item('servers/a', None, 7)]
+            stand.store.newest = 7
+            stand.store.slow_s = reader.OUTAGE_S
+            stand.store.faults.append(call.CallFailed('silent'))
+            await _until(lambda: not stand.store.faults)
+            stand.store.slow_s = 0.0
+
+        _same(await _outlast(stand, change), True)
+
+    reading(check)
