Stand in for a first reader that passes nothing on

Cause: only the first of the two readers passed on what it read. It keeps that duty until it is taken to be silent, which takes 3 x 1.66 s at an entry with 17 entries and 52 agents (Members.suspect_s), or until its watch fails after 4 s. Meanwhile the second reads each change and tells nobody. The others notice by its heartbeat, or look at the store, 0 to 0.9 s after the change; those that looked wait for 0.6 s and read it there, those of other regions ask across regions after 0.5 s. So most of twelve entries would have it sent over two links again.

The second reader now passes on after 0.3 s what no other entry has.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -19,12 +19,17 @@
 READS = 'reads'  # the mark of an entry that the store answers
 READER = 'reader'  # the keys by which all choose the same entries for a duty
 RELAY = 'relay'
-READERS = 2  # entries that wait at the store; the first passes on what it reads
+# Entries that wait at the store. The first passes on what it reads; the other stands
+# in for it, as one that is frozen or cut off is missed after seconds only.
+READERS = 2
 
 # What a reader of the store passes on, or this process reads itself, is here by then.
 NEAR_LAG_S = 0.15
 # By then a peer of the same region has it, if that is to come from a reader there.
 FAR_LAG_S = 0.5
+# The other entry that reads passes on what the first has not passed on by then. The
+# others read the store 0.6 s after a change at the earliest.
+STAND_IN_S = 0.3
 PULL_TIMEOUT_S = 1.0
 RETRY_S = 0.1  # when every peer that is ahead has failed to answer
 PACK_LEVEL = 1  # a configuration shrinks to a tenth at the least effort
@@ -68,6 +73,7 @@
         self._clock = asyncio.get_running_loop().time
         self._leaders: dict[str, _Leader] = {}
         self._is_behind = asyncio.Event()
+        self._told_revision = 0  # the newest that another entry has passed on
         self.items_bytes = 0
         self.fed_at = 0.0
         board.on(wire.PullItems, self._answer_pull)
@@ -97,9 +103,24 @@
 
         It goes to each entry of this region, and to one of each other region.
         """
-        if self._view.revision <= after or after < self._view.history_from:
+        if self._view.revision <= after:
             return
-        if self._readers()[0] == self._mates.card.name:
+        name = self._mates.card.name
+        readers = self._readers()
+        if readers[0] == name:
+            self._pass_on(after)
+        elif name in readers:
+            loop = asyncio.get_running_loop()
+            loop.call_later(STAND_IN_S, self._stand_in, after, self._view.revision)
+
+    def _stand_in(self, after: int, revision: int) -> None:
+        """Pass on what was read up to a revision if no other entry has done so."""
+        if self._told_revision < revision:
+            journal.info('items.stood_in', after=after, revision=revision)
+            self._pass_on(after)
+
+    def _pass_on(self, after: int) -> None:
+        if after >= self._view.history_from:
             told = self._items_since(after, whole=False)
             self._send([*self._fellows(), *self._relays()], told)
 
@@ -143,6 +164,7 @@
         The peer is asked for that, as its revision is ahead.
         """
         known = self._view.revision
+        self._told_revision = max(self._told_revision, body.revision)
         if channel.card is None or body.after > known:
             return
         self._take(body, channel.card.name)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 import zlib
 
 import msgspec
@@ -10,8 +11,9 @@
 from testtools import assertions, matchers
 
 import platformstand as stand
+from primrosesaddle.core import rendezvous
 from primrosesaddle.fleet import feed, view
-from primrosesaddle.membership import members, switchboard, wire
+from primrosesaddle.membership import members, peers, switchboard, wire
 from primrosesaddle.platform import records
 
 LARGE_ROUTES = 400
@@ -132,10 +134,15 @@
 class Peer:
     """The channel of a peer, whose messages an entry's switchboard takes."""
 
-    def __init__(self, board):
+    def __init__(self, board, name='e2'):
         self._board = board
-        self.card = _card('e2')
+        self.card = _card(name)
         self.closed = False
+        self.sent = []
+
+    def send(self, body):
+        """Keep what the entry sends to this peer."""
+        self.sent.append(body)
 
     def tell(self, packed, after, revision):
         body = wire.Items(packed, after, revision, whole=False, named_ages_s={})
@@ -194,3 +201,55 @@
         _same(seen.revision, 5)
 
     fed(check)
+
+
+@pytest.fixture
+def second():
+    """Return a function that runs a check with the feed of the second reader.
+
+    The check gets the feed, its view, and the channel of the first reader.
+    """
+
+    def run(check):
+        async def main():
+            first, name = rendezvous.order(feed.READER, ['e1', 'e2'])
+            board = switchboard.Switchboard()
+            rand = random.Random(1)
+            mates = members.Members(_card(name), board.hooks(), None, rand)
+            seen = view.View(records.decode, lambda: 100.0, 5.0)
+            seen.replace(view.Snapshot([], 5), 'store')
+            leader = Peer(board, first)
+            now = time.monotonic()
+            mates.peers[first] = peers.Peer(
+                leader.card, leader, now, live=(feed.READS,)
+            )
+            await check(feed.Feed(seen, mates, board, str, rand), seen, leader)
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_second_reader_passes_on_what_the_first_does_not(second):
+    """The first is frozen or cut off, and is taken to be alive for seconds."""
+
+    async def check(fellows, seen, leader):
+        seen.apply(view.Changes([], 6), 'store')
+        fellows.pass_on(5)
+        await asyncio.sleep(2 * feed.STAND_IN_S)
+        _same([(body.after, body.revision) for body in leader.sent], [(5, 6)])
+
+    second(check)
+
+
+def test_second_reader_is_silent_when_the_first_has_told(second):
+    """What it would send crosses the links between regions once more."""
+
+    async def check(fellows, seen, leader):
+        seen.apply(view.Changes([], 6), 'store')
+        fellows.pass_on(5)
+        leader.tell(feed.pack([]), after=5, revision=6)
+        await asyncio.sleep(2 * feed.STAND_IN_S)
+        _same(leader.sent, [])
+
+    second(check)
