--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -28,6 +28,8 @@
 LOOK_S = 0.1  # between looks at what other entries have told
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
+# A watch is silent for 4 s until it fails, a look for 3 s at most since the last answer.
+OUTAGE_S = 3.5
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
 
 
@@ -65,12 +67,16 @@
         self._feed = fellows
         self._check_s = CHECK_SHARE * bound_s
         self._told_s = TOLD_SHARE * bound_s
-        self._read_at = 0.0
+        self._read_at = clock()
         self._rand = rand
         self._clock = clock
         self._failures = 0
         self._failing_since = 0.0
         self._after: int | None = None
+        # The store no longer has the changes past this revision. Everything is read,
+        # unless a peer has told what this process lacks: all entries at once would
+        # fill the links between regions for longer than a read may take.
+        self._gone_until = 0
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
@@ -80,22 +86,30 @@
                 continue
             try:
                 await self._step()
+                continue
             except call.CallFailed as exc:
                 self._note_failure(exc)
-                await asyncio.sleep(
-                    backoff.delay_s(
-                        self._failures, RETRY_FIRST_S, RETRY_CEILING_S, self._rand
-                    )
+            except Exception as exc:
+                # Nothing starts this task again; other entries read meanwhile.
+                journal.error('reader.failed', error=repr(exc))
+                self._note_failure(exc)
+            await asyncio.sleep(
+                backoff.delay_s(
+                    self._failures, RETRY_FIRST_S, RETRY_CEILING_S, self._rand
                 )
+            )
 
     async def refresh(self) -> None:
-        """Read everything now, as after this process stood still."""
+        """Read now what has changed, as after this process stood still."""
+        after = self._view.revision
         try:
-            snapshot = await self._source.read_all()
+            changes = await self._source.wait_changes(after, 0.0) if after else None
+            if changes is None:
+                self._view.replace(await self._source.read_all(), view.STORE)
+            else:
+                self._view.apply(changes, view.STORE)
         except call.CallFailed as exc:
             journal.info('store.not_refreshed', error=str(exc))
-            return
-        self._view.replace(snapshot, view.STORE)
 
     @property
     def in_touch(self) -> bool:
@@ -114,9 +128,9 @@
 
     async def _step(self) -> None:
         before = self._view.revision
-        if self._after is None:
+        if self._after is None and before <= self._gone_until:
             await self._read_all()
-        elif self._feed.reads() or self._failures:
+        elif self._after is None or self._feed.reads() or self._failures:
             await self._read_changes()
         else:
             await self._check()
@@ -124,8 +138,9 @@
             self._feed.pass_on(before)
 
     async def _read_all(self) -> None:
+        began = self._clock()
         snapshot = await self._source.read_all()
-        self._note_success()
+        self._note_success(began)
         self._view.replace(snapshot, view.STORE)
         self._after = snapshot.revision
         journal.info(
@@ -134,19 +149,28 @@
 
     async def _read_changes(self) -> None:
         after = max(self._view.revision, self._after or 0)
-        unseen_s = 0.0 if self._failures else self._clock() - self._last_seen_at
-        wait_s = WAIT_S if self._feed.reads() and not self._failures else 0.0
-        changes = await self._source.wait_changes(after, wait_s)
-        self._note_success()
+        waits = self.in_touch and self._feed.reads()
+        seen_at = self._last_seen_at
+        began = self._clock()
+        changes = await self._source.wait_changes(after, WAIT_S if waits else 0.0)
+        answered = self._clock()
+        # A watch that waited tells of a change at once.
+        unseen_s = (began if waits else answered) - seen_at
+        if self._is_outage:
+            unseen_s = 0.0
         if changes is None:
+            # The end of an outage is noted with the read of everything that follows.
             journal.info('store.history_gone', after=after)
             self._after = None
+            self._gone_until = after
             return
+        self._note_success(answered if waits else began)
         self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
         self._after = max(after, changes.revision)
 
     async def _check(self) -> None:
         """Ask whether something has changed that nobody has told."""
+        began = self._clock()
         revision = await self._source.revision()
         until = self._clock() + self._told_s
         while self._view.revision < revision:
@@ -157,21 +181,29 @@
                 await self._read_changes()
                 return
             await asyncio.sleep(LOOK_S)
-        self._note_success()
+        self._note_success(began)
 
-    def _note_failure(self, exc: call.CallFailed) -> None:
+    def _note_failure(self, exc: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
             self._failing_since = self._clock()
             journal.warning('store.lost', error=str(exc))
 
-    def _note_success(self) -> None:
-        self._read_at = self._clock()
+    @property
+    def _is_outage(self) -> bool:
+        """Tell whether the store was away, and not one watch cut."""
+        silent_s = self._clock() - self._last_seen_at
+        return self._failures >= OUTAGE_FAILURES or (
+            self._failures > 0 and silent_s >= OUTAGE_S
+        )
+
+    def _note_success(self, known_at: float) -> None:
+        """Note that the store answered; what it told was so at a time or later."""
+        if self._is_outage:
+            self._view.note_store_returned()
+        self._read_at = known_at
         if not self._failures:
             return
-        # One failure is a watch that was cut; an outage fails the retry as well.
-        if self._failures >= OUTAGE_FAILURES:
-            self._view.note_store_returned()
         self._failures = 0
         away_s = round(self._clock() - self._failing_since, 3)
         journal.info('store.regained', away_s=away_s)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -206,6 +206,18 @@
     _same(seen.namings.known_ages_s(), {})
 
 
+def test_slow_read_after_a_pause_does_not_shorten_the_pause(seen, clock):
+    """A version may have been named at the beginning of the pause."""
+    seen.replace(view.Snapshot([_version(2, 4)], 4), 'store')
+    seen.sweep()
+    clock.now += 4.0
+    seen.sweep()
+    clock.now += 1.0
+    seen.replace(view.Snapshot([_version(3, 9)], 9), 'store')
+    clock.now += 3.0
+    _same(seen.namings.required('m', 8.0), 3)
+
+
 def test_first_read_of_the_store_after_a_peer_told_is_no_sight(seen, clock):
     """A peer that lags behind does not make the first read a later one."""
     seen.replace(view.Snapshot([_version(2, 4)], 4), 'peer')
@@ -261,6 +273,25 @@
     _same(seen.history_from, 6)
 
 
+def test_record_that_is_nested_too_deeply_names_no_server(seen):
+    """The decoder gives up on it with an error of another kind."""
+    deep = b'[' * 5000 + b']' * 5000
+    body = (_server('a', 6).body or b'')[:-1] + b', "more": ' + deep + b'}'
+    found = [view.Item('servers/a', body, 6), _server('b', 7)]
+    seen.apply(view.Changes(found, 7), 'store')
+    _same((sorted(seen.servers), seen.revision), (['b'], 7))
+
+
+def test_peer_gets_all_from_one_that_read_past_a_removal(seen, clock):
+    """The server came and went between two whole reads, so only the peer knew it."""
+    peer = view.View(records.decode, clock, 5.0)
+    for each in (seen, peer):
+        each.replace(view.Snapshot([], 10), 'store')
+    peer.apply(view.Changes([_server('a', 12)], 12), 'store')
+    seen.replace(view.Snapshot([], 20), 'store')
+    assertions.assert_that(seen.history_from, matchers.GreaterThan(peer.revision))
+
+
 @pytest.mark.parametrize(
     'change',
     [
