--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -28,7 +28,7 @@
 LOOK_S = 0.1  # between looks at what other entries have told
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
-# A watch is silent for 4 s until it fails, a look for 3 s at most since the last answer.
+# A watch is silent for 4 s until it fails; a look fails 3 s after the last answer.
 OUTAGE_S = 3.5
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
 
