Keep watches short until entries agree on who reads

Cause: an entry goes by the marks in others' heartbeats, and counts itself in. When none is marked yet, each takes itself for the first reader and waits at the store for 2 s, so each of them is sent what changes in that time, in base64.

For 1.3 s after the store has begun to answer an entry, the store is asked to wait for 0.5 s at most. In the test, a configuration 2.0 s after the return of the store was sent to four entries of four, and is sent to two now. It leaves the first 1.7 s or so, in which all still read.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -20,6 +20,10 @@
 # Each waiting watch is a priced call. An entry that is fed by another one from now on
 # has a watch of its own for as long.
 WAIT_S = 2.0
+# An entry that the store answers again takes itself for one of those that read until it
+# knows the others: they have tried again and sent a heartbeat by then.
+AGREE_S = 1.3
+AGREE_WAIT_S = 0.5
 # Of the least time in which a change must be in force: an entry that has heard nothing
 # for the first share asks the store whether something has changed. If so, it waits for
 # the second share to be told what, and reads it then.
@@ -28,7 +32,7 @@
 LOOK_S = 0.1  # between looks at what other entries have told
 RETRY_FIRST_S = 0.1
 OUTAGE_FAILURES = 2
-# A watch is silent for 4 s until it fails, a look for 3 s at most since the last answer.
+# A watch is silent for 4 s until it fails. A look fails within 3 s of the last answer.
 OUTAGE_S = 3.5
 RETRY_CEILING_S = 0.6  # a change must be in force within two seconds of its return
 
@@ -72,6 +76,7 @@
         self._clock = clock
         self._failures = 0
         self._failing_since = 0.0
+        self._regained_at = 0.0
         self._after: int | None = None
         # The store no longer has the changes past this revision. Everything is read,
         # unless a peer has told what this process lacks: all entries at once would
@@ -152,7 +157,7 @@
         waits = self.in_touch and self._feed.reads()
         seen_at = self._last_seen_at
         began = self._clock()
-        changes = await self._source.wait_changes(after, WAIT_S if waits else 0.0)
+        changes = await self._source.wait_changes(after, self._wait_s(waits))
         answered = self._clock()
         # A watch that waited tells of a change at once.
         unseen_s = (began if waits else answered) - seen_at
@@ -168,6 +173,13 @@
         self._view.apply(changes._replace(unseen_s=unseen_s), view.STORE)
         self._after = max(after, changes.revision)
 
+    def _wait_s(self, waits: bool) -> float:
+        """Return how long the store may wait for changes before it answers."""
+        if not waits:
+            return 0.0
+        is_new = self._clock() - self._regained_at < AGREE_S
+        return AGREE_WAIT_S if is_new else WAIT_S
+
     async def _check(self) -> None:
         """Ask whether something has changed that nobody has told."""
         began = self._clock()
@@ -201,6 +213,8 @@
         """Note that the store answered; what it told was so at a time or later."""
         if self._is_outage:
             self._view.note_store_returned()
+        if not self.in_touch:
+            self._regained_at = self._clock()
         self._read_at = known_at
         if not self._failures:
             return
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -112,6 +112,27 @@
     in_fleet(check)
 
 
+def test_few_entries_read_soon_after_an_outage_of_the_store(in_fleet):
+    """Each takes itself for one that reads until it knows the others."""
+
+    async def check(fleet):
+        for _ in range(3):
+            await fleet.join()
+        await _all_adopt(fleet, 1)
+        await asyncio.sleep(SETTLED_S)
+        fleet.store.down = True
+        await asyncio.sleep(SETTLED_S)
+        fleet.store.down = False
+        await asyncio.sleep(2.0)
+        before = fleet.store.sent['op/config']
+        fleet.store.put('op/config', _large(2))
+        await _all_adopt(fleet, 2)
+        await asyncio.sleep(0.5)
+        _same(fleet.store.sent['op/config'] - before, feed.READERS)
+
+    in_fleet(check)
+
+
 def test_entry_takes_over_when_one_that_reads_is_lost(in_fleet):
     """One of those that are left waits at the store again."""
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -184,7 +184,9 @@
         stand.store.newest = 6
         stand.store.forgotten = True
         await stand.reader.refresh()
-        _same((stand.store.asked, list(stand.seen.servers)), (['changes', 'all'], ['a']))
+        _same(
+            (stand.store.asked, list(stand.seen.servers)), (['changes', 'all'], ['a'])
+        )
 
     reading(check)
 
