Let fed entries ask for the revision after a failed read too

Cause: after a failed look an entry that is fed read the changes at once. They hold each revision of an item: five of a configuration of 598,204 bytes are 32 Mbit in base64, 2.4 s on a free link of 13.5 Mbit/s, where the read may take 2 s. It breaks off and begins again at the same revision, next to the other entries of the region. Peers tell the last revision, compressed.

In the test it asked for changes after one failed look before.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -135,7 +135,7 @@
         before = self._view.revision
         if self._after is None and before <= self._gone_until:
             await self._read_all()
-        elif self._after is None or self._feed.reads() or self._failures:
+        elif self._after is None or self._feed.reads():
             await self._read_changes()
         else:
             await self._check()
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -160,6 +160,19 @@
     reading(check)
 
 
+def test_entry_that_is_fed_reads_no_changes_after_a_failed_look(reading):
+    """They hold each revision of an item, and peers tell the last one, compressed."""
+
+    async def check(stand):
+        await _until(lambda: stand.reader.in_touch)
+        stand.store.asked.clear()
+        stand.store.faults.append(call.CallFailed('cut off'))
+        await _until(lambda: len(stand.store.asked) == 2)
+        _same(stand.store.asked, ['revision', 'revision'])
+
+    reading(check)
+
+
 def test_entry_that_stood_still_reads_what_has_changed(reading):
     """All that wake at once would fill a link with what they know already."""
 
