Widen the margins before a bound by what a slow path adds

Cause: nothing is sent to older weights in the last 0.8 s before the bound, and what has not begun 0.25 s before it is taken back. Both are margins for a path of milliseconds, and round trips were up to 1.02 s; where the agent of a server holds nothing that can be loaded, they alone keep the rule.

Both now grow by the round trip to the region that is the slowest to reach, 2 s at most; in each region the fastest peer counts. test_call_over_a_slow_path_is_not_sent_to_weights_that_will_be_too_old had the call answered on older weights before.

--- a/src/primrosesaddle/membership/members.py
+++ b/src/primrosesaddle/membership/members.py
@@ -152,6 +152,18 @@
         interval_s = peers.heartbeat_interval_s(len(self.peers) // 2)
         return max(peers.SUSPECT_S, 3 * interval_s)
 
+    def path_s(self) -> float:
+        """Return the round trip to the region that is the slowest to reach, in seconds.
+
+        In each region the fastest peer counts, as the others may be slow themselves.
+        """
+        fastest: dict[str, float] = {}
+        for peer in self.peers.values():
+            if peer.rtt_s:
+                region = peer.card.region
+                fastest[region] = min(peer.rtt_s, fastest.get(region, peer.rtt_s))
+        return max(fastest.values(), default=0.0)
+
     def announce(self, *, leaving: bool) -> None:
         """Tell every peer at once, as on leaving or on a new revision."""
         self.leaving = leaving
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -30,6 +30,9 @@
 # A call that has not begun this long before the bound is taken back from a server
 # with older weights: the time for the relay to look, and for the close to arrive.
 BEGIN_MARGIN_S = 0.25
+# Both margins grow by what a slow path adds, as the call and the close that takes it
+# back both wait on it; callers do not wait for longer than this.
+MOST_PATH_S = 2.0
 DIRECTORY_TTL_S = 1.0  # callers learn of an entry that leaves within this time
 LATE_CALLERS = 3  # some callers keep a directory answer this many times as long
 SWEEP_S = 0.2
@@ -70,8 +73,9 @@
         self._relay = self._make_relay()
         self._door = doorway.Doorway(self._view, self._relay)
         self._reader = self._make_reader()
-        self.mesh.reads = lambda: self._reader.in_touch
+        self.mesh.in_touch = lambda: self._reader.in_touch
         self._servers: list[httpserver.HTTPServer] = []
+        self._path_s = 0.0
         self._noted: dict[str, int] = {}  # versions that were logged as required
         self._origin: depot.Origin | None = None
         self._origin_address = ''
@@ -169,7 +173,7 @@
         return [address for address in found if address][:MAX_ADDRESSES]
 
     def _required(self, model: str, margin_s: float = VERSION_MARGIN_S) -> int:
-        bound_s = self.cfg.bounds.version_s - margin_s
+        bound_s = self.cfg.bounds.version_s - margin_s - self._path_s
         return self._view.namings.required(model, bound_s)
 
     def _fill_s(self, service: routes.Service) -> float | None:
@@ -269,6 +273,7 @@
             await asyncio.sleep(SWEEP_S)
             self._view.sweep()
             self._kept.sweep()
+            self._path_s = min(MOST_PATH_S, self.mesh.mates.path_s())
             self._note_required()
             if pauses.observe(clocks.boot_time()):
                 await self.wake()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -89,3 +89,12 @@
     _greet(table, 'e2', '0001')
     clock[0] += 5.0
     _same(table.alive('entry'), [])
+
+
+def test_path_is_as_slow_as_the_slowest_region(table):
+    """A peer that is slow itself does not count while another one there is fast."""
+    for number, region, rtt_s in ((2, 'r1', 0.9), (3, 'r1', 0.01), (4, 'r2', 0.4)):
+        card = wire.Card(f'e{number}', 'entry', 'i2', f'10.0.0.{number}:1', region, 'd')
+        table.greet(Channel(card), wire.Hello(card, leaving=False))
+        table.peers[card.name].rtt_s = rtt_s
+    _same(table.path_s(), 0.4)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -495,6 +495,24 @@
     in_fleet(check, old, new, version_s=2.0)
 
 
+def test_call_over_a_slow_path_is_not_sent_to_weights_that_will_be_too_old(in_fleet):
+    """It would begin past the bound, and the close would come after it."""
+    old = stand.Server('old', stand.stream(3))
+
+    async def check(fleet):
+        fleet.store.put('op/config', stand.configuration(2, services=[stand.ENGINES]))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        fleet.entry.mesh.mates.path_s = lambda: 1.5
+        fleet.store.put(
+            f'op/version/{stand.MODEL}', {'model': stand.MODEL, 'version': 2}
+        )
+        await asyncio.sleep(1.0)
+        got = await fleet.call('/chat/1', headers={'X-Model': stand.MODEL})
+        _same((got.status, old.seen), (503, []))
+
+    in_fleet(check, old, version_s=3.0)
+
+
 def test_plain_service_is_bound_to_no_version(in_fleet):
     """A call to it may name a model whose newer version is required by now."""
     server = stand.Server('a')
