Pass on what is read to two entries of each other region

Callers would see calls late between regions when an entry that passes items on to its region is frozen: it is taken to be alive for seconds, and the others of its region have each what they lack sent across. Two entries of each region are told now; the later word changes nothing.

The mark of an entry that the store answers and the choice of those that read had one name; they have two.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -14,11 +14,12 @@
 from primrosesaddle.membership import link, members, peers, switchboard, wire
 from primrosesaddle.telemetry import journal
 
-__all__ = ('READS', 'Feed', 'pack')
+__all__ = ('IN_TOUCH', 'Feed', 'pack')
 
-READS = 'reads'  # the mark of an entry that the store answers
+IN_TOUCH = 'in-touch'  # the mark of an entry that the store answers
 READER = 'reader'  # the keys by which all choose the same entries for a duty
 RELAY = 'relay'
+RELAYS = 2  # entries of each other region, as one that is frozen is missed late
 # Entries that wait at the store. The first passes on what it reads; the other stands
 # in for it, as one that is frozen or cut off is missed after seconds only.
 READERS = 2
@@ -94,14 +95,14 @@
                 journal.error('feed.failed', error=repr(exc))
                 await asyncio.sleep(RETRY_S)
 
-    def reads(self) -> bool:
+    def is_reader(self) -> bool:
         """Tell whether this process is to wait at the store for changes."""
         return self._mates.card.name in self._readers()
 
     def pass_on(self, after: int) -> None:
         """Tell other entries what was read past a revision, if that is ours to do.
 
-        It goes to each entry of this region, and to one of each other region.
+        It goes to each entry of this region, and to two of each other region.
         """
         if self._view.revision <= after:
             return
@@ -120,16 +121,25 @@
             self._pass_on(after)
 
     def _pass_on(self, after: int) -> None:
-        if after >= self._view.history_from:
-            told = self._items_since(after, whole=False)
-            self._send([*self._fellows(), *self._relays()], told)
+        if after < self._view.history_from:
+            return
+        told = self._items_since(after, whole=False)
+        receivers = [*self._fellows(), *self._relays()]
+        self._send(receivers, told)
+        journal.info(
+            'items.passed_on',
+            after=after,
+            revision=told.revision,
+            size=len(told.packed),
+            receivers=len(receivers),
+        )
 
     def _readers(self) -> list[str]:
         """Return the names of the entries that read the store, the first leading."""
         able = [
             peer.card
             for peer in self._mates.alive('entry')
-            if READS in peer.live and not peer.leaving
+            if IN_TOUCH in peer.live and not peer.leaving
         ]
         able.append(self._mates.card)
         region = self._origin_region()
@@ -146,12 +156,16 @@
         ]
 
     def _relays(self) -> list[peers.Peer]:
-        """Return an entry of each other region, which passes on what it hears."""
+        """Return entries of each other region, which pass on what they hear there."""
         far: dict[str, dict[str, peers.Peer]] = collections.defaultdict(dict)
         for peer in self._mates.alive('entry'):
             if peer.card.region != self._mates.card.region and not peer.leaving:
                 far[peer.card.region][peer.card.name] = peer
-        return [found[rendezvous.order(RELAY, found)[0]] for found in far.values()]
+        return [
+            found[name]
+            for found in far.values()
+            for name in rendezvous.order(RELAY, found)[:RELAYS]
+        ]
 
     def _send(self, receivers: Sequence[peers.Peer], told: wire.Items) -> None:
         for peer in receivers:
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -24,7 +24,7 @@
         """Prepare the links of a process; an agent has no view to share."""
         self.board = switchboard.Switchboard()
         self.ready: Callable[[], bool] = bool
-        self.reads: Callable[[], bool] = bool
+        self.in_touch: Callable[[], bool] = bool
         self.ages_s: Callable[[], dict[str, float]] = dict
         self._view = seen
         self._rand = rand
@@ -91,7 +91,7 @@
         return self._regions.get(data_centre, '')
 
     def _marks(self) -> tuple[str, ...]:
-        marks = ((READY, self.ready()), (feed.READS, self.reads()))
+        marks = ((READY, self.ready()), (feed.IN_TOUCH, self.in_touch()))
         return tuple(mark for mark, applies in marks if applies)
 
     def _greet(self, peer: peers.Peer) -> None:
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -123,7 +123,7 @@
 
     def _is_fed(self) -> bool:
         """Tell whether another entry has told lately what it read."""
-        if not self.in_touch or self._feed.reads():
+        if not self.in_touch or self._feed.is_reader():
             return False
         return self._clock() - self._last_seen_at < self._check_s
 
@@ -135,7 +135,7 @@
         before = self._view.revision
         if self._after is None and before <= self._gone_until:
             await self._read_all()
-        elif self._after is None or self._feed.reads():
+        elif self._after is None or self._feed.is_reader():
             await self._read_changes()
         else:
             await self._check()
@@ -154,7 +154,7 @@
 
     async def _read_changes(self) -> None:
         after = max(self._view.revision, self._after or 0)
-        waits = self.in_touch and self._feed.reads()
+        waits = self.in_touch and self._feed.is_reader()
         seen_at = self._last_seen_at
         began = self._clock()
         changes = await self._source.wait_changes(after, self._wait_s(waits))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -142,11 +142,11 @@
         await _all_adopt(fleet, 1)
         await asyncio.sleep(SETTLED_S)
         _same(fleet.store.watching, feed.READERS)
-        lost = next(found for found in fleet.entries if found.feed.reads())
+        lost = next(found for found in fleet.entries if found.feed.is_reader())
         await fleet.lose(lost)
         await asyncio.sleep(SETTLED_S)
         left = [found for found in fleet.entries if found is not lost]
-        _same(sum(found.feed.reads() for found in left), feed.READERS)
+        _same(sum(found.feed.is_reader() for found in left), feed.READERS)
         _same(fleet.store.watching, feed.READERS)
 
     in_fleet(check)
@@ -242,7 +242,7 @@
             leader = Peer(board, first)
             now = time.monotonic()
             mates.peers[first] = peers.Peer(
-                leader.card, leader, now, live=(feed.READS,)
+                leader.card, leader, now, live=(feed.IN_TOUCH,)
             )
             await check(feed.Feed(seen, mates, board, str, rand), seen, leader)
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -58,10 +58,10 @@
 
     def __init__(self):
         self.fed_at = 0.0
-        self.is_reader = False
+        self.is_chosen = False
 
-    def reads(self):
-        return self.is_reader
+    def is_reader(self):
+        return self.is_chosen
 
     def pass_on(self, after):
         """Tell nobody."""
@@ -137,7 +137,7 @@
 
     async def check(stand):
         await _until(lambda: stand.reader.in_touch)
-        stand.feed.is_reader = True
+        stand.feed.is_chosen = True
         stand.store.faults.append(KeyError('unforeseen'))
         stand.store.items.append(_server('a', 6))
         stand.store.newest = 6
