--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -33,7 +33,7 @@
 STAND_IN_S = 0.3
 PULL_TIMEOUT_S = 1.0
 RETRY_S = 0.1  # when every peer that is ahead has failed to answer
-PACK_LEVEL = 1  # a configuration shrinks to a tenth at the least effort
+PACK_LEVEL = 1  # the least effort; the names in a configuration repeat
 MAX_ITEMS_BYTES = 64 * 1024 * 1024  # of the items in one message
 
 _Rows = tuple[tuple[str, bytes | None, int], ...]
