--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -59,6 +59,14 @@
     )
 
 
+async def _settle(fleet, joining):
+    """Let more entries join, and agree on who reads."""
+    for _ in range(joining):
+        await fleet.join()
+    await _all_adopt(fleet, 1)
+    await asyncio.sleep(SETTLED_S)
+
+
 def test_large_configuration_is_sent_to_few_entries(in_fleet):
     """The links between regions carry calls, which it would hold up."""
 
@@ -100,10 +108,7 @@
     """Their watches fell silent; the others look at the store themselves in time."""
 
     async def check(fleet):
-        for _ in range(3):
-            await fleet.join()
-        await _all_adopt(fleet, 1)
-        await asyncio.sleep(SETTLED_S)
+        await _settle(fleet, 3)
         fleet.store.mute = True
         fleet.store.put('op/config', _large(2))
         async with asyncio.timeout(fleet.cfg.bounds.configuration_s):
@@ -116,10 +121,7 @@
     """Each takes itself for one that reads until it knows the others."""
 
     async def check(fleet):
-        for _ in range(3):
-            await fleet.join()
-        await _all_adopt(fleet, 1)
-        await asyncio.sleep(SETTLED_S)
+        await _settle(fleet, 3)
         fleet.store.down = True
         await asyncio.sleep(SETTLED_S)
         fleet.store.down = False
@@ -137,10 +139,7 @@
     """One of those that are left waits at the store again."""
 
     async def check(fleet):
-        for _ in range(3):
-            await fleet.join()
-        await _all_adopt(fleet, 1)
-        await asyncio.sleep(SETTLED_S)
+        await _settle(fleet, 3)
         _same(fleet.store.watching, feed.READERS)
         lost = next(found for found in fleet.entries if found.feed.is_reader())
         await fleet.lose(lost)
