Reader: an outage of one entry alone keeps no servers that left

The store had turned one entry away for 9 s and served the others; that entry takes what is removed within 0.3 s of its return for expired by the outage and keeps it for 2.2 s, and tells so to the peers that it passes the removal on to.

Change: an entry whose peers used the store meanwhile, by the changes that they sent or the labels of their heartbeats, records no outage of the store.

Result: three new tests of the reader; the two on an outage of one entry fail without the change (the server is kept), the one on an outage for all passes on both.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -102,6 +102,13 @@
         """Tell whether this process is one of those that watch the store."""
         return self._members.card.name in self._select_readers()
 
+    def is_store_reached_by_others(self) -> bool:
+        """Tell whether another entry says that the store answers it."""
+        return any(
+            STORE_REACHABLE in peer.state_labels
+            for peer in self._members.alive_peers('entry')
+        )
+
     def forward_changes(self, after: int) -> None:
         """Send the items read after a revision to other entries, if this is a reader.
 
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -34,6 +34,12 @@
 OUTAGE_FAILURES = 2
 # A watch fails after 4 s of silence, a revision check within 3 s of the last answer.
 OUTAGE_S = 3.5
+# What peers sent within this time of the first failure, they may have read before it.
+# In the same time before this entry regains the store, they may have regained it first.
+OTHERS_MARGIN_S = 1.0
+# A peer that has lost the store no longer says that it reaches it after this time: that
+# of a watch, and of a heartbeat.
+OTHERS_LABEL_S = 5.0
 RETRY_CEILING_S = 0.6  # a change must be in force 2 s after the store is back
 
 
@@ -79,6 +85,7 @@
         self._clock = clock
         self._failures = 0
         self._failing_since = 0.0
+        self._others_served_at: float | None = None  # first evidence of that
         self._regained_at = 0.0
         self._after: int | None = None
         # The store no longer has the changes after this revision. All items are read,
@@ -206,7 +213,17 @@
         self._failures += 1
         if self._failures == 1:
             self._failing_since = self._clock()
+            self._others_served_at = None
             journal.warning('store.lost', error=str(exc))
+        if self._others_served_at is None and self._are_others_served():
+            self._others_served_at = self._clock()
+
+    def _are_others_served(self) -> bool:
+        """Tell whether other entries have used the store since this one lost it."""
+        if self._feed.last_update_at > self._failing_since + OTHERS_MARGIN_S:
+            return True
+        failing_s = self._clock() - self._failing_since
+        return failing_s > OTHERS_LABEL_S and self._feed.is_store_reached_by_others()
 
     @property
     def _is_outage(self) -> bool:
@@ -216,9 +233,18 @@
             self._failures > 0 and silent_s >= OUTAGE_S
         )
 
+    @property
+    def _is_own_outage(self) -> bool:
+        """Tell whether the store was unavailable to this entry, but not to others.
+
+        What was removed then, or is removed now, did not expire by an outage.
+        """
+        served_at = self._others_served_at
+        return served_at is not None and self._clock() - served_at > OTHERS_MARGIN_S
+
     def _record_success(self, known_at: float) -> None:
         """Record an answer of the store, whose content was current at `known_at`."""
-        if self._is_outage:
+        if self._is_outage and not self._is_own_outage:
             self._view.record_store_recovery()
         if not self.is_store_reachable:
             self._regained_at = self._clock()
@@ -227,4 +253,4 @@
             return
         self._failures = 0
         away_s = round(self._clock() - self._failing_since, 3)
-        journal.info('store.regained', away_s=away_s)
+        journal.info('store.regained', away_s=away_s, alone=self._is_own_outage)
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -59,6 +59,10 @@
     def __init__(self):
         self.last_update_at = 0.0
         self.is_selected = False
+        self.is_reached_by_others = False
+
+    def is_store_reached_by_others(self):
+        return self.is_reached_by_others
 
     def is_reader(self):
         return self.is_selected
@@ -313,3 +317,50 @@
         _assert_equal(await _is_kept_after(fixture, change), True)
 
     reading(check)
+
+
+@pytest.mark.parametrize('evidence', ['changes', 'labels'])
+def test_server_that_leaves_after_an_outage_of_one_entry_is_dropped(
+    reading, monkeypatch, evidence
+):
+    """The store turned this entry away and served the others, so nothing expired.
+
+    A server that is removed right after it has left, and must get no calls.
+    """
+    monkeypatch.setattr(reader, 'OTHERS_LABEL_S', 1.5)
+
+    async def check(fixture):
+        async def change():
+            faults = [call.CallFailed('busy') for _ in range(20)]
+            fixture.store.faults += faults
+            await _until(lambda: len(fixture.store.faults) < 18)
+            fixture.feed.is_reached_by_others = evidence == 'labels'
+            await asyncio.sleep(1.5)
+            if evidence == 'changes':
+                fixture.feed.last_update_at = fixture.clock()
+            await asyncio.sleep(2.5)
+            fixture.store.items[:] = [fleetview.Item('servers/a', None, 7)]
+            fixture.store.newest_revision = 7
+            fixture.store.faults.clear()
+
+        _assert_equal(await _is_kept_after(fixture, change), False)
+
+    reading(check)
+
+
+def test_expired_server_is_kept_if_others_have_just_regained_the_store(reading):
+    """After an outage for all, one entry is the first that is served again."""
+
+    async def check(fixture):
+        async def change():
+            fixture.store.faults += [call.CallFailed('busy') for _ in range(20)]
+            await _until(lambda: len(fixture.store.faults) < 18)
+            await asyncio.sleep(2.0)
+            fixture.store.items[:] = [fleetview.Item('servers/a', None, 7)]
+            fixture.store.newest_revision = 7
+            fixture.feed.last_update_at = fixture.clock()
+            fixture.store.faults.clear()
+
+        _assert_equal(await _is_kept_after(fixture, change), True)
+
+    reading(check)
