--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -41,6 +41,11 @@
     expires_at: float
     fut: 'asyncio.Future[placement.Choice]'
 
+    def refuse(self, refusal: verdict.Refusal) -> None:
+        """End the wait with a refusal, unless it has ended."""
+        if not self.fut.done():
+            self.fut.set_exception(refusal)
+
 
 class _Queue:
     """The calls that wait for one service, by rank, and recent times of the service.
@@ -57,6 +62,10 @@
         self.start_s = 0.0
         self.start_deviation_s = 0.0
 
+    def list_waiters(self) -> list[_Waiter]:
+        """Return all waiters, including those whose wait has ended."""
+        return [waiter for waiting in self.ranks for waiter in waiting]
+
     def count_ahead_of(self, rank: int) -> int:
         """Return how many calls wait with this rank or a more urgent one."""
         return sum(len(waiting) for waiting in self.ranks[: rank + 1])
@@ -118,6 +127,9 @@
         ready_s = self._estimate_ready_s(call, service)
         max_wait_s = self._compute_max_wait_s(call, service, queue, ready_s)
         expected_wait_s = self._estimate_wait_s(call, service, queue, ready_s)
+        quiet_s = self._estimate_quiet_s(call, service)
+        if quiet_s is not None and quiet_s > max_wait_s:
+            raise _make_quiet_refusal(quiet_s)
         if max_wait_s <= 0 or expected_wait_s > max_wait_s:
             ahead = queue.count_ahead_of(_get_queue_rank(call))
             reason = (
@@ -157,6 +169,24 @@
                 self._take_slot(queue, waiter.call, choice, now)
                 waiter.fut.set_result(choice)
 
+    def has_server(self, call: request.Call, service: routes.Service) -> bool:
+        """Return whether a server that was not tried can run a call, or soon can."""
+        required = self._get_required_version(call.model)
+        usable = self._placer.list_usable_servers(call, service, required)
+        return bool(usable) or self._choose_server(call, service) is not None
+
+    def refuse_hopeless(self, service: str) -> None:
+        """Refuse the calls that cannot wait until a server of a service wants calls.
+
+        Called when a server has asked for no calls for a while.
+        """
+        queue = self._queues.get(service)
+        now = self._clock()
+        for waiter in queue.list_waiters() if queue else ():
+            quiet_s = self._estimate_quiet_s(waiter.call, waiter.service)
+            if quiet_s is not None and now + quiet_s > waiter.expires_at:
+                waiter.refuse(_make_quiet_refusal(quiet_s))
+
     async def run(self) -> None:
         """Grant slots and refuse calls that waited too long, until cancelled."""
         while True:
@@ -194,10 +224,10 @@
         for waiting in queue.ranks:
             for waiter in [entry for entry in waiting if now >= entry.expires_at]:
                 waiting.remove(waiter)
-                if not waiter.fut.done():
-                    ready_s = self._estimate_ready_s(waiter.call, waiter.service)
-                    refusal = self._make_refusal(waiter.call, ready_s, 'no_place: held')
-                    waiter.fut.set_exception(refusal)
+                ready_s = self._estimate_ready_s(waiter.call, waiter.service)
+                waiter.refuse(
+                    self._make_refusal(waiter.call, ready_s, 'no_place: held')
+                )
 
     def _choose_server(
         self, call: request.Call, service: routes.Service
@@ -268,6 +298,13 @@
         rate = queue.compute_grant_rate(self._clock())
         return ahead / rate if rate else 0.0
 
+    def _estimate_quiet_s(
+        self, call: request.Call, service: routes.Service
+    ) -> float | None:
+        """Return in how many seconds the first server wants calls again, or None."""
+        required = self._get_required_version(call.model)
+        return self._placer.estimate_quiet_s(call, service, required)
+
     def _estimate_ready_s(
         self, call: request.Call, service: routes.Service
     ) -> float | None:
@@ -288,6 +325,12 @@
         )
 
 
+def _make_quiet_refusal(quiet_s: float) -> verdict.Refusal:
+    """Return the refusal of a call whose servers want no calls for a while."""
+    retry_after_s = round(max(MIN_RETRY_AFTER_S, quiet_s), 2)
+    return verdict.not_run(f'quiet: for_s={quiet_s:.2f}', 503, retry_after_s)
+
+
 def _get_queue_rank(call: request.Call) -> int:
     """Return the rank of a call in the queue.
 
--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -30,7 +30,9 @@
     `signed` is whether the answer has the server's seal, `not_run` whether the
     server states that it did not run the call. `load` is the number of calls that
     run or wait at the server, None when it is not stated. `at_fault` is the address
-    of the server of a chain that could not run its layers, empty for none.
+    of the server of a chain that could not run its layers, empty for none. `leaving`
+    is whether the server says that it is leaving. `quiet_s` is for how many seconds a
+    server that refuses the call wants no calls, NaN for an unreadable time, 0 for none.
     """
 
     status: int
@@ -40,6 +42,8 @@
     not_run: bool
     load: int | None
     at_fault: str = ''
+    leaving: bool = False
+    quiet_s: float = 0.0
 
 
 class AnswerSink(typing.Protocol):
@@ -81,8 +85,13 @@
     def read_head(self, head: upstream.Head) -> AnswerHead:
         """Return the head of an answer in its neutral form."""
 
-    def answers(self, call: request.Call, headers: typing.Any) -> bool:
-        """Return whether an answer with these headers belongs to a call."""
+    def answers(
+        self, call: request.Call, headers: typing.Any, *, is_first: bool
+    ) -> bool:
+        """Return whether an answer with these headers belongs to a call.
+
+        `is_first` is set for the first call of a connection.
+        """
 
 
 class Attempt:
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
-from primrosesaddle.calls import request
+from primrosesaddle.calls import notices, request
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.telemetry import journal
@@ -51,7 +51,8 @@
     `unread_tokens` maps the id of a call to the size of its prompt until the first
     event of the answer. `other_calls` is the number of calls that other entries have
     there, as of `other_calls_at`. `passing_calls` counts the calls of this entry
-    that begin at another server of a chain and pass through this one.
+    that begin at another server of a chain and pass through this one. Until
+    `quiet_until` the server wants no calls.
     """
 
     record: servers.BackendServer
@@ -65,12 +66,18 @@
     failure_share: float = 0.0
     is_removed: bool = False
     passing_calls: int = 0
+    quiet_until: float = 0.0
 
     @property
     def server_id(self) -> str:
         """Return the server's id, which is a new one after each start."""
         return self.record.server_id
 
+    @property
+    def incarnation(self) -> notices.Incarnation:
+        """Return the server's id and start, which identify one start of a server."""
+        return self.record.server_id, self.record.start_time_ms
+
     @property
     def is_superseded(self) -> bool:
         """Return whether the agent reported a later start at this address."""
@@ -168,7 +175,9 @@
 class Backends:
     """All backend servers, by id, service and address.
 
-    The functions in `removal_listeners` are called with each server that is removed.
+    The functions in `removal_listeners` are called with each server that is removed,
+    those in `leaving_listeners` with each incarnation of which this entry is the first
+    to know that it leaves.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -178,11 +187,20 @@
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, list[Backend]] = {}
         self._reports: dict[str, Report] = {}
+        self._notices = notices.Notices(clock)
+        self.leaving_listeners: list[Callable[[notices.Incarnation], None]] = []
         self.removal_listeners: list[Callable[[Backend], None]] = []
 
     def update_records(self, published: Iterable[servers.BackendServer]) -> None:
         """Adopt the published records; remove servers that are leaving or missing."""
-        usable = {rec.server_id: rec for rec in published if not rec.leaving}
+        records = {rec.server_id: rec for rec in published}
+        self._notices.forget_missing(records)
+        usable = {
+            server_id: rec
+            for server_id, rec in records.items()
+            if not rec.leaving
+            and not self._notices.is_leaving((server_id, rec.start_time_ms))
+        }
         for server_id, backend in list(self._by_id.items()):
             record = usable.get(server_id)
             if record is None or record.start_time_ms != backend.record.start_time_ms:
@@ -191,6 +209,7 @@
             known = self._by_id.get(server_id)
             if known is None:
                 known = Backend(record, report=self._reports.get(record.address))
+                known.quiet_until = self._notices.get_quiet_until(known.incarnation)
                 self._by_id[server_id] = known
             known.record = record
         self._rebuild_indexes()
@@ -201,6 +220,52 @@
         for backend in self._by_address.get(address, ()):
             backend.update_report(report)
 
+    def mark_leaving(self, backend: Backend, source: str) -> None:
+        """Remove a server that has said that it is leaving, and notify listeners.
+
+        `source` is for the log: how that became known.
+        """
+        if self.learn_leaving(backend.incarnation, source):
+            for listener in self.leaving_listeners:
+                listener(backend.incarnation)
+
+    def mark_leaving_at(self, address: str, start_time_ms: int) -> None:
+        """Remove the server that started then at an address, as it is leaving."""
+        for backend in self._by_address.get(address, ()):
+            if backend.record.start_time_ms == start_time_ms:
+                self.mark_leaving(backend, 'agent')
+
+    def learn_leaving(self, incarnation: notices.Incarnation, source: str) -> bool:
+        """Remove a server that is leaving; return whether that was not known.
+
+        Listeners are not notified, as when a peer that notifies all has said it.
+        """
+        if not self._notices.mark_leaving(incarnation):
+            return False
+        journal.info('server.leaving', server=incarnation[0], source=source)
+        backend = self._by_id.get(incarnation[0])
+        if backend is not None and backend.incarnation == incarnation:
+            self._remove(backend)
+            self._rebuild_indexes()
+        return True
+
+    def list_leaving(self) -> tuple[notices.Incarnation, ...]:
+        """Return the servers that have said that they are leaving."""
+        return self._notices.list_leaving()
+
+    def request_quiet(self, backend: Backend, quiet_s: float) -> None:
+        """Exclude a server from selection for as long as it wants no calls.
+
+        `quiet_s` is in seconds, NaN if the server stated an unreadable time.
+        """
+        backend.quiet_until = self._notices.request_quiet(backend.incarnation, quiet_s)
+        journal.info(
+            'server.quiet',
+            server=backend.server_id,
+            stated_s=quiet_s,
+            for_s=round(backend.quiet_until - self._clock(), 2),
+        )
+
     def list_servers(self, service: str) -> list[Backend]:
         """Return the servers of a service that are published and not leaving."""
         return self._by_service.get(service, [])
@@ -217,10 +282,19 @@
     def is_usable(self, backend: Backend) -> bool:
         """Return whether a server may be selected now.
 
-        That is a known one, not suspect or superseded, and reachable by its agent.
+        That is one that accepts calls and is not suspect.
         """
         now = self._clock()
-        if backend.is_removed or now < backend.suspect_until or backend.is_superseded:
+        return now >= backend.suspect_until and self.accepts_calls(backend)
+
+    def accepts_calls(self, backend: Backend) -> bool:
+        """Return whether a server is known and reachable, and wants calls now."""
+        return self._clock() >= backend.quiet_until and self.is_present(backend)
+
+    def is_present(self, backend: Backend) -> bool:
+        """Return whether a server is known, not superseded, and reachable."""
+        now = self._clock()
+        if backend.is_removed or backend.is_superseded:
             return False
         report = backend.get_fresh_report(now)
         return report is None or report.reachable
--- a/src/primrosesaddle/calls/budget.py
+++ b/src/primrosesaddle/calls/budget.py
@@ -60,16 +60,20 @@
 
     def claim_retry(self, service: str) -> bool:
         """Count a retry if the budget allows it, and return whether it does."""
+        if not self.has_retry(service):
+            return False
+        self._add(service, 0, 1)
+        return True
+
+    def has_retry(self, service: str) -> bool:
+        """Return whether the budget allows a retry now."""
         now = self._clock()
         window = self._windows.setdefault(service, _Window())
         # One slice more than the window, as the oldest slice has only partly expired.
         since = now - self._window_s * (1 + 1 / SLICES)
         first_sends, retries = window.sum_since(since)
         allowed = self._ratio * first_sends + self._extra / max(1, self._entries())
-        if retries + 1 > allowed:
-            return False
-        self._add(service, 0, 1)
-        return True
+        return retries + 1 <= allowed
 
     def _add(self, service: str, first_sends: int, retries: int) -> None:
         window = self._windows.setdefault(service, _Window())
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -61,7 +61,9 @@
         """Create a forwarder. Its `watcher` has to be run by the caller of this."""
         self._deps = deps
         self._clock = asyncio.get_running_loop().time
-        self.watcher = watcher.AttemptWatcher(deps.min_version_to_begin, self._clock)
+        self.watcher = watcher.AttemptWatcher(
+            deps.min_version_to_begin, self._can_go_elsewhere, self._clock
+        )
         self._memory_budget = memory.MemoryBudget(attempts.MAX_TOTAL_BUFFERED_BYTES)
         self.in_flight = 0
 
@@ -140,6 +142,11 @@
             attempt.abort_outdated(required_version)
             self._deps.pool.release(backend.server_id, conn)
             return False
+        if not self._deps.backends.accepts_calls(backend):
+            # It has left, or asked for no calls, while the connection was opened.
+            self._release_connection(backend, conn)
+            self._log_attempt(attempt, call, 'withdrawn')
+            return False
         attempt.conn = conn
         attempt.sent = True
         if call.tried:
@@ -147,13 +154,16 @@
         else:
             self._deps.retry_budget.record_first_send(service.name)
         call.tried.append(backend.server_id)
-        hooks: attempts.ResponseHooks = (attempt.on_head, attempt.on_body)
+        on_head = self._make_head_hook(attempt, service)
+        hooks: attempts.ResponseHooks = (on_head, attempt.on_body)
         if call.route.kind is routes.RouteKind.STREAM:
-            hooks = self._make_stream_hooks(attempt, call, sink, splitter)
+            hooks = on_head, self._make_stream_hook(attempt, call, sink, splitter)
         exchange = upstream.Exchange(
             conn,
             *hooks,
-            lambda headers: self._deps.wire.answers(call, headers),
+            lambda headers: self._deps.wire.answers(
+                call, headers, is_first=conn.sent_count == 1
+            ),
         )
         self.watcher.add(attempt)
         try:
@@ -171,9 +181,20 @@
         finally:
             self.watcher.discard(attempt)
         if ending is upstream.Ending.COMPLETE:
-            self._deps.pool.release(backend.server_id, conn)
+            self._release_connection(backend, conn)
         return self._finish_attempt(attempt, call, sink, splitter, ending)
 
+    def _can_go_elsewhere(self, attempt: attempts.Attempt) -> bool:
+        """Return whether a server that was not tried, and the budget, allow a retry."""
+        name = attempt.choice.backend.record.service
+        conf = self._deps.view.configuration
+        service = None if conf is None else conf.services.get(name)
+        return (
+            service is not None
+            and self._deps.retry_budget.has_retry(name)
+            and self._deps.admission.has_server(attempt.call, service)
+        )
+
     async def _connect(
         self, attempt: attempts.Attempt, call: request.Call
     ) -> upstream.Connection | None:
@@ -194,6 +215,15 @@
             call.refused_by.append(backend.server_id)
             return None
 
+    def _release_connection(
+        self, backend: backends.Backend, conn: upstream.Connection
+    ) -> None:
+        """Keep an idle connection, unless its server is leaving or gone."""
+        if backend.is_removed:
+            conn.close()
+        else:
+            self._deps.pool.release(backend.server_id, conn)
+
     def _build_headers(
         self,
         attempt: attempts.Attempt,
@@ -219,14 +249,32 @@
         """Return the lowest version to which a call may be sent, 0 for any."""
         return self._deps.min_version_to_send(call.model) if call.model else 0
 
-    def _make_stream_hooks(
+    def _make_head_hook(
+        self, attempt: attempts.Attempt, service: routes.Service
+    ) -> Callable[[upstream.Head], None]:
+        """Return a hook that reads the head of an answer, and the server's notices."""
+        backend = attempt.choice.backend
+
+        def on_head(received: upstream.Head) -> None:
+            attempt.on_head(received)
+            head = typing.cast(attempts.AnswerHead, attempt.head)
+            if head.leaving:
+                self._deps.backends.mark_leaving(backend, 'answer')
+            if head.quiet_s:
+                self._deps.metrics.count('quiet_requests', service=service.name)
+                self._deps.backends.request_quiet(backend, head.quiet_s)
+                self._deps.admission.refuse_hopeless(service.name)
+
+        return on_head
+
+    def _make_stream_hook(
         self,
         attempt: attempts.Attempt,
         call: request.Call,
         sink: attempts.AnswerSink,
         splitter: events.EventSplitter,
-    ) -> attempts.ResponseHooks:
-        """Return hooks that forward the complete events of a stream as they arrive.
+    ) -> Callable[[bytes], Awaitable[None] | None]:
+        """Return a hook that forwards the complete events of a stream as they arrive.
 
         The body of an unsigned answer or of an error is buffered instead.
         """
@@ -246,7 +294,7 @@
             self._start_stream(attempt, call, sink)
             return sink.write(complete)
 
-        return attempt.on_head, on_body
+        return on_body
 
     def _start_stream(
         self, attempt: attempts.Attempt, call: request.Call, sink: attempts.AnswerSink
@@ -288,7 +336,8 @@
             return False
         if not head.signed:
             call.record_verdict(verdict.Verdict.MAY_HAVE_RUN)
-            backend.record_outcome(failed=True)
+            if not head.quiet_s:
+                backend.record_outcome(failed=True)
             self._log_attempt(attempt, call, 'unsigned')
             return False
         call.record_verdict(verdict.Verdict.RAN)
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -155,6 +155,23 @@
         known = sorted(ready_s for ready_s in reported if ready_s is not None)
         return known[len(known) // 2] if known else self._estimate_fill_time(service)
 
+    def estimate_quiet_s(
+        self, call: request.Call, service: routes.Service, required_version: int
+    ) -> float | None:
+        """Return in how many seconds the first server wants calls again.
+
+        Returns None unless all servers that can run the call have asked for none.
+        """
+        if self.list_usable_servers(call, service, required_version):
+            return None
+        now = self._clock()
+        quiet_s = [
+            backend.quiet_until - now
+            for backend in self._list_able_servers(call, service, required_version)
+            if backend.quiet_until > now
+        ]
+        return min(quiet_s, default=None)
+
     def list_usable_servers(
         self, call: request.Call, service: routes.Service, required_version: int
     ) -> list[backends.Backend]:
@@ -162,20 +179,30 @@
 
         Ejected servers are left out unless all of them are.
         """
-        min_version = max(1, required_version) if service.engine and call.model else 0
-        now = self._clock()
         able = [
             backend
-            for backend in self._backends.list_servers(service.name)
+            for backend in self._list_able_servers(call, service, required_version)
             if self._backends.is_usable(backend)
-            and backend.server_id not in call.tried
-            and self._get_held_version(backend, call, service, now) >= min_version
         ]
         not_ejected = [
             backend for backend in able if not self._backends.is_ejected(backend)
         ]
         return not_ejected or able
 
+    def _list_able_servers(
+        self, call: request.Call, service: routes.Service, required_version: int
+    ) -> list[backends.Backend]:
+        """Return the servers that can run a call alone, usable now or not."""
+        min_version = max(1, required_version) if service.engine and call.model else 0
+        now = self._clock()
+        return [
+            backend
+            for backend in self._backends.list_servers(service.name)
+            if self._backends.is_present(backend)
+            and backend.server_id not in call.tried
+            and self._get_held_version(backend, call, service, now) >= min_version
+        ]
+
     def _select_chain(
         self,
         call: request.Call,
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -16,14 +16,19 @@
     """Checks all attempts under way, and aborts those that have to be retried."""
 
     def __init__(
-        self, min_version_to_begin: Callable[[str], int], clock: Callable[[], float]
+        self,
+        min_version_to_begin: Callable[[str], int],
+        can_go_elsewhere: Callable[[attempts.Attempt], bool],
+        clock: Callable[[], float],
     ) -> None:
         """Create a watcher without attempts.
 
         `min_version_to_begin` returns the lowest version of a model on which a call
-        that has been sent may still begin.
+        that has been sent may still begin. `can_go_elsewhere` returns whether another
+        server may take over the call of an attempt.
         """
         self._min_version_to_begin = min_version_to_begin
+        self._can_go_elsewhere = can_go_elsewhere
         self._clock = clock
         self._attempts: set[attempts.Attempt] = set()
 
@@ -62,5 +67,6 @@
             return
         silent_s = now - attempt.last_progress_at
         limit_s = silence.get_silence_limit_s(attempt)
-        if silent_s > limit_s:
+        # Where no other server can continue, a slow one may still do so.
+        if silent_s > limit_s and self._can_go_elsewhere(attempt):
             attempt.abort_stalled(f'limit_s={limit_s:.2f}')
--- a/src/primrosesaddle/core/kernel.py
+++ b/src/primrosesaddle/core/kernel.py
@@ -9,6 +9,8 @@
 
 __all__ = ('Kernel', 'Service')
 
+RESTART_DELAY_S = 0.2  # before a failed task is started again
+
 _Hook = Callable[[], Awaitable[None]]
 _Work = Callable[[], Coroutine[typing.Any, typing.Any, None]]
 
@@ -66,6 +68,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def keep_running(self, make_work: _Work, name: str) -> None:
+        """Run a background task that is not meant to end, and restart one that fails.
+
+        Without it the process would go on with a part of it missing.
+        """
+        self.spawn(_run_again(make_work, name), name)
+
     def spawn_later(self, make_work: _Work, name: str) -> None:
         """Run a background task once all services have started."""
         self._deferred.append((make_work, name))
@@ -101,6 +110,17 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+async def _run_again(make_work: _Work, name: str) -> None:
+    """Run a task; after an exception, log it and start the task again."""
+    while True:
+        try:
+            await make_work()
+            return
+        except Exception as exc:
+            journal.error('task.failed', task=name, error=repr(exc))
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 async def _run_logged(
     work: Coroutine[typing.Any, typing.Any, None],
     name: str,
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -252,7 +252,7 @@
     """State of an agent's backend server, which listens at an address.
 
     `ready_in_s` is the time until an empty server is expected to hold layers, 0 if not
-    known.
+    known. `leaving` is whether the server says that it is leaving.
     """
 
     address: str
@@ -264,6 +264,7 @@
     switching: bool = False
     pace: float = 1.0
     ready_in_s: float = 0
+    leaving: bool = False
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
@@ -291,6 +292,12 @@
     ages_s: dict[str, float]
 
 
+class LeavingServers(msgspec.Struct, tag=27, array_like=True, frozen=True):
+    """Servers that say that they are leaving, by id and start in Unix milliseconds."""
+
+    incarnations: tuple[tuple[str, int], ...]
+
+
 Body = (
     Hello
     | Heartbeat
@@ -318,6 +325,7 @@
     | ServerState
     | Goal
     | VersionAges
+    | LeavingServers
 )
 
 
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -66,6 +66,7 @@
     `idle_since` is in the event loop's time. `idle_limit_s` is the idle timeout
     that the server announced, 0 if none. `keep_alive` is false if the connection must
     not carry another request. `closed_locally` tells whether this side closed it.
+    `sent_count` is the number of requests sent on it.
     """
 
     def __init__(self, address: str, stream: Stream) -> None:
@@ -76,6 +77,7 @@
         self.idle_limit_s = 0.0
         self.keep_alive = True
         self.closed_locally = False
+        self.sent_count = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -138,6 +140,7 @@
         if body or method not in {'GET', 'HEAD', 'DELETE', 'OPTIONS'}:
             all_headers['Content-Length'] = str(len(body))
         start = httputil.RequestStartLine(method, target, 'HTTP/1.1')
+        self._conn.sent_count += 1
         with contextlib.suppress(iostream.StreamClosedError):
             sent = self._http.write_headers(start, all_headers, body)
             sent.add_done_callback(futures.retrieve_exception)
@@ -228,7 +231,7 @@
             self._conn.keep_alive = False
         for part in headers.get('Keep-Alive', '').split(','):
             name, _, text = part.strip().partition('=')
-            if name.lower() == 'timeout' and text.isdigit():
+            if name.lower() == 'timeout' and text.isdecimal():
                 self._conn.idle_limit_s = float(text)
 
 
--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -1,12 +1,10 @@
 """Client of the engine beside an agent: its report, staging store and load orders."""
 
-import typing
-
 import msgspec
 
 from primrosesaddle.core import layers
 from primrosesaddle.net import call
-from primrosesaddle.platform import names, records
+from primrosesaddle.platform import jsonbody, names, records, wire
 from primrosesaddle.staging import reconciler
 
 __all__ = ('EngineClient',)
@@ -16,19 +14,20 @@
 ORDER_TIMEOUT_S = 2.0
 ACCEPTED_STATUSES = frozenset((200, 202))
 
-_Message = typing.TypeVar('_Message')
-
 
 class _Report(msgspec.Struct, rename='camel'):
     models: list[records.HeldVersion] = msgspec.field(default_factory=list)
     layers: records.HeldLayers | None = None
     # Whether a load order is in progress, not whether requests run.
     busy: bool = False
-    active: int = 0
-    queued: int = 0
+    active: records.Count = 0
+    queued: records.Count = 0
     # Above 1 when the engine is slower than its profile.
     pace: float = 1.0
-    born: int = 0
+    born: records.Count = 0
+
+
+_REPORT = msgspec.json.Decoder(_Report)
 
 
 class EngineClient:
@@ -45,7 +44,7 @@
         Raises `call.CallFailed` when there is no well-formed answer.
         """
         answer = await self._call('GET', names.REPORT_PATH, REPORT_TIMEOUT_S)
-        report = _decode(answer.body, _Report)
+        report = jsonbody.decode_answer(answer.body, _REPORT, names.REPORT_PATH)
         return reconciler.EngineState(
             records.make_spans(report.models, report.layers),
             report.busy,
@@ -53,6 +52,7 @@
             report.queued,
             report.pace,
             report.born,
+            wire.is_leaving(answer.headers),
         )
 
     async def read_piece(self, model: str, index: int) -> bytes | None:
@@ -109,11 +109,3 @@
     """Raise `call.CallFailed` unless the answer's status is below 300."""
     if answer.status >= 300:
         raise call.CallFailed(f'{target}: status {answer.status}: {answer.body[:80]!r}')
-
-
-def _decode(body: bytes, message: type[_Message]) -> _Message:
-    """Decode JSON into a struct type; raises `call.CallFailed` when malformed."""
-    try:
-        return msgspec.json.decode(body, type=message)
-    except msgspec.MsgspecError as exc:
-        raise call.CallFailed(f'malformed answer: {exc}') from None
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -1,6 +1,7 @@
 """HTTP applications: callers' requests, the directory and the readiness check."""
 
 import asyncio
+import math
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -10,6 +11,7 @@
 from primrosesaddle.calls import attempts, intake
 from primrosesaddle.core import futures, verdict
 from primrosesaddle.platform import names
+from primrosesaddle.process import adapter
 from primrosesaddle.telemetry import journal
 
 __all__ = ('CallApplication', 'JsonApplication')
@@ -22,23 +24,37 @@
 ListAddresses = Callable[[str, str], list[str]]
 
 
-class CallApplication(httputil.HTTPServerConnectionDelegate):
+class CallApplication(adapter.CallApplication):
     """Passes callers' requests to a request intake."""
 
     def __init__(self, request_intake: intake.RequestIntake) -> None:
         """Create the application over an intake."""
         self._request_intake = request_intake
+        self._requests: dict[object, _CallRequest] = {}  # newest of each connection
 
     def start_request(
         self,
         server_conn: object,
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
-        """Return what takes one request."""
-        return _CallRequest(self._request_intake, request_conn)
+        """Return what takes one request, which may still have to be received."""
+        made = _CallRequest(self._request_intake, request_conn)
+        self._requests[server_conn] = made
+        return made
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing: each request has a close callback of its own."""
+        """Forget a closed connection."""
+        self._requests.pop(server_conn, None)
+
+    def close_idle_connections(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+        for made in list(self._requests.values()):
+            if made.is_awaited:
+                made.abort()
+
+    def count_unanswered(self) -> int:
+        """Return the number of requests that have begun to arrive, not yet answered."""
+        return sum(made.is_unanswered for made in self._requests.values())
 
 
 class _CallRequest(httputil.HTTPMessageDelegate):
@@ -56,6 +72,16 @@
         self._task: asyncio.Task[None] | None = None
         self._ended = False
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the head of the request has not been received."""
+        return self._start_line is None
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the request has begun to arrive, and has no complete answer."""
+        return not self.is_awaited and not self._ended
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
@@ -283,11 +309,12 @@
 
 
 def _parse_non_negative(text: str) -> float:
-    """Parse a number; 0 when it is negative or malformed."""
+    """Parse a number; 0 when it is negative, not finite or malformed."""
     try:
-        return max(0.0, float(text))
+        parsed = float(text)
     except ValueError:
         return 0.0
+    return parsed if math.isfinite(parsed) and parsed > 0 else 0.0
 
 
 def _close_when_sent(stream: iostream.IOStream) -> None:
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -9,6 +9,8 @@
     'LENGTH_HINT_HEADER',
     'SERVER_LOAD_HEADER',
     'NOT_EXECUTED_HEADER',
+    'RETRY_AFTER_HEADER',
+    'SERVER_LEAVING_HEADER',
     'PRIORITY_HEADER',
     'SEAL_HEADER',
     'TENANT_HEADER',
@@ -30,6 +32,11 @@
 SERVER_LOAD_HEADER = 'X-Server-Load'
 # Present when the server did not run the request.
 NOT_EXECUTED_HEADER = 'X-Not-Executed'
+# Present, as 1, in all answers of a server that is leaving.
+SERVER_LEAVING_HEADER = 'Server-Leaving'
+# From a server: the seconds for which it wants no requests of this machine at all, not
+# only when to repeat the one that it refused.
+RETRY_AFTER_HEADER = 'Retry-After'
 MODEL_HEADER = 'X-Model'
 # Tokens of the prompt and the most tokens of the answer, comma-separated.
 TOKEN_COUNT_HEADER = 'X-Token-Count'
--- a/src/primrosesaddle/platform/origin.py
+++ b/src/primrosesaddle/platform/origin.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from primrosesaddle.net import call
-from primrosesaddle.platform import names
+from primrosesaddle.platform import jsonbody, names
 from primrosesaddle.staging import pieces
 
 __all__ = ('OriginClient',)
@@ -18,6 +18,9 @@
     layers: int = 0
 
 
+_MANIFEST = msgspec.json.Decoder(_Manifest)
+
+
 class OriginClient:
     """Calls to the origin of weights."""
 
@@ -34,10 +37,7 @@
         target = f'{names.MANIFEST_PATH}/{version.model}?version={version.number}'
         answer = await self._client.call('GET', target, DIGESTS_TIMEOUT_S)
         _check_status(answer, target)
-        try:
-            manifest = msgspec.json.decode(answer.body, type=_Manifest)
-        except msgspec.MsgspecError as exc:
-            raise call.CallFailed(f'{target}: {exc}') from None
+        manifest = jsonbody.decode_answer(answer.body, _MANIFEST, target)
         return pieces.Digests(version, tuple(manifest.digests), manifest.layers)
 
     async def read_piece(self, version: pieces.Version, index: int) -> bytes:
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -1,5 +1,6 @@
 """Decoding of the items in the platform's store into the product's types."""
 
+import ipaddress
 import typing
 
 import msgspec
@@ -7,15 +8,21 @@
 from primrosesaddle.calls import routes
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
-from primrosesaddle.platform import names
+from primrosesaddle.platform import jsonbody, names
 
 __all__ = ('decode_record',)
 
 _MS = 1000.0
 
-_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
-_Address = typing.Annotated[str, msgspec.Meta(pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$')]
-_Text = typing.Annotated[str, msgspec.Meta(min_length=1)]
+# Integers above this lose digits in JSON, and do not fit messages between processes.
+_MAX_INTEGER = 2**53
+_MAX_SLOTS = 1_000_000
+_MAX_TEXT = 256  # characters; the platform's own names and addresses are far shorter
+_MAX_PORT = 65535
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+_Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+_Text = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_TEXT)]
 
 
 class _TrafficShare(msgspec.Struct):
@@ -96,34 +103,34 @@
 
 class _Version(msgspec.Struct):
     model: _Text
-    version: typing.Annotated[int, msgspec.Meta(ge=1)]
+    version: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_INTEGER)]
 
 
 class HeldLayers(msgspec.Struct, rename={'first': 'from', 'end': 'to'}):
-    first: int = 0
-    end: int = 0
-    version: int = 0
+    first: Count = 0
+    end: Count = 0
+    version: Count = 0
 
 
 class HeldVersion(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _Server(msgspec.Struct, rename='camel'):
     service: _Text
-    address: _Address
+    address: _Text
     zone: _Text
     # Version of the server's software, not of its weights.
-    version: str
-    slots: _Count
+    version: typing.Annotated[str, msgspec.Meta(max_length=_MAX_TEXT)]
+    slots: _Slots
     state: typing.Literal['ready', 'draining']
     cold_remaining_ms: float
-    sequence: _Count
+    sequence: Count
     models: list[HeldVersion] = msgspec.field(default_factory=list)
     # The consecutive layers that the server holds of its model.
     layers: HeldLayers | None = None
-    born: _Count = 0
+    born: Count = 0
 
 
 Record = routes.Configuration | servers.BackendServer | servers.WantedVersion
@@ -143,20 +150,14 @@
 
     Raises `msgspec.MsgspecError` or `ValueError` when the item is malformed.
     """
-    try:
-        return _decode(key, body)
-    except RecursionError:
-        raise ValueError('the item is nested too deeply') from None
-
-
-def _decode(key: str, body: bytes) -> Record | None:
     if key == names.CONFIG_KEY:
-        return _make_configuration(_CONFIG.decode(body))
+        return _make_configuration(jsonbody.decode_body(body, _CONFIG))
     if key.startswith(names.VERSION_PREFIX):
-        item = _VERSION.decode(body)
+        item = jsonbody.decode_body(body, _VERSION)
         return servers.WantedVersion(item.model, item.version)
     if key.startswith(names.SERVER_PREFIX):
-        return _make_server(key[len(names.SERVER_PREFIX) :], _SERVER.decode(body))
+        server_id = key[len(names.SERVER_PREFIX) :]
+        return _make_server(server_id, jsonbody.decode_body(body, _SERVER))
     return None
 
 
@@ -176,6 +177,7 @@
 def _make_server(server_id: str, item: _Server) -> servers.BackendServer:
     if not server_id:
         raise ValueError('the key of a server item has no id after the prefix')
+    _check_address(item.address)
     return servers.BackendServer(
         server_id,
         item.service,
@@ -188,6 +190,15 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise `ValueError` unless an address is of the form IP:PORT, both in range."""
+    host, _, port = address.rpartition(':')
+    ipaddress.IPv4Address(host)
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or not 1 <= int(port) <= _MAX_PORT:
+        raise ValueError(f'port {port!r} is not between 1 and {_MAX_PORT}')
+
+
 def _make_configuration(item: _Config) -> routes.Configuration:
     workspaces = None
     if item.tenants is not None:
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -8,7 +8,7 @@
 
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.net import call
-from primrosesaddle.platform import names
+from primrosesaddle.platform import jsonbody, names
 
 __all__ = ('StoreClient',)
 
@@ -116,10 +116,7 @@
             raise _HistoryGone
         if answer.status != 200:
             raise call.CallFailed(f'{target}: status {answer.status}')
-        try:
-            return decoder.decode(answer.body)
-        except msgspec.MsgspecError as exc:
-            raise call.CallFailed(f'{target}: {exc}') from None
+        return jsonbody.decode_answer(answer.body, decoder, target)
 
 
 class _HistoryGone(Exception):
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -1,5 +1,7 @@
 """Headers of requests and answers between entry and server, in the platform's form."""
 
+import math
+import re
 from collections.abc import Sequence
 
 from tornado import httputil
@@ -8,10 +10,12 @@
 from primrosesaddle.net import upstream
 from primrosesaddle.platform import names
 
-__all__ = ('answers', 'read_head', 'request_headers')
+__all__ = ('answers', 'is_leaving', 'read_head', 'request_headers')
 
 _MS = 1000
 MIN_DEADLINE_MS = 1
+_COUNT = re.compile('[0-9]{1,9}')
+REFUSAL_STATUSES = frozenset((429, 503))
 
 
 def request_headers(
@@ -61,12 +65,26 @@
         not_run=names.NOT_EXECUTED_HEADER in headers or head.status == 421,
         load=_parse_load(headers.get(names.SERVER_LOAD_HEADER, '')),
         at_fault=headers.get(names.AT_FAULT_HEADER, ''),
+        leaving=is_leaving(headers),
+        quiet_s=_parse_quiet_s(headers) if head.status in REFUSAL_STATUSES else 0.0,
     )
 
 
-def answers(call: request.Call, headers: httputil.HTTPHeaders) -> bool:
-    """Return whether an answer belongs to a call: it has the call's id or no id."""
-    return headers.get(names.ATTEMPT_ID_HEADER, call.call_id) == call.call_id
+def is_leaving(headers: httputil.HTTPHeaders) -> bool:
+    """Return whether the server that sent these headers says that it is leaving."""
+    return headers.get(names.SERVER_LEAVING_HEADER, '').strip() == '1'
+
+
+def answers(
+    call: request.Call, headers: httputil.HTTPHeaders, *, is_first: bool
+) -> bool:
+    """Return whether an answer belongs to a call: it has the call's id.
+
+    An answer without an id belongs to the first call of a connection, for which
+    `is_first` is set. Later it may be a copy of an earlier answer.
+    """
+    stated = headers.get(names.ATTEMPT_ID_HEADER)
+    return is_first if stated is None else stated == call.call_id
 
 
 def _format_chain(stops: Sequence[placement.ChainMember]) -> str:
@@ -75,11 +93,32 @@
     )
 
 
+def _parse_quiet_s(headers: httputil.HTTPHeaders) -> float:
+    """Return the longest time for which a server wants no requests, in seconds.
+
+    Returns 0 for none or one in the past, NaN when no stated time is readable.
+    """
+    stated = headers.get(names.RETRY_AFTER_HEADER)
+    if stated is None:
+        return 0.0
+    readable = [
+        seconds for seconds in map(_parse_seconds, stated.split(',')) if seconds >= 0
+    ]
+    return max(readable, default=math.nan)
+
+
+def _parse_seconds(text: str) -> float:
+    """Return a number of seconds, 0 if negative, NaN if unreadable as a date is."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return math.nan
+    return 0.0 if seconds < 0 else seconds
+
+
 def _parse_load(text: str) -> int | None:
     """Return the running plus waiting requests, or None when they are not reported."""
-    parts = text.split(',')
-    if len(parts) < 2 or not (
-        parts[0].strip().isdigit() and parts[1].strip().isdigit()
-    ):
+    parts = [part.strip() for part in text.split(',')[:2]]
+    if len(parts) < 2 or not all(_COUNT.fullmatch(part) for part in parts):
         return None
     return int(parts[0]) + int(parts[1])
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -1,5 +1,6 @@
 """Interface between the processes and the platform that they run on."""
 
+import abc
 import dataclasses
 import typing
 from collections.abc import Callable
@@ -10,17 +11,29 @@
 from primrosesaddle.fleet import fleetview, reader
 from primrosesaddle.staging import reconciler, weightcache
 
-__all__ = ('Adapter', 'Applications')
+__all__ = ('Adapter', 'Applications', 'CallApplication')
 
 ListAddresses = Callable[[str, str], list[str]]
 
 
+class CallApplication(httputil.HTTPServerConnectionDelegate, abc.ABC):
+    """The HTTP application that passes callers' requests to an intake."""
+
+    @abc.abstractmethod
+    def close_idle_connections(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+
+    @abc.abstractmethod
+    def count_unanswered(self) -> int:
+        """Return the number of requests that have begun to arrive, not yet answered."""
+
+
 class Applications(typing.Protocol):
     """Builds the HTTP applications that a process serves."""
 
     def make_call_application(
         self, request_intake: intake.RequestIntake
-    ) -> httputil.HTTPServerConnectionDelegate:
+    ) -> CallApplication:
         """Return the application that passes callers' requests to an intake."""
 
     def make_readiness_application(
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -63,7 +63,7 @@
         """Start every service."""
         self._mesh.start()
         if self._reconciler is not None:
-            self.kernel.spawn(self._reconciler.run(), 'keeper')
+            self.kernel.keep_running(self._reconciler.run, 'keeper')
         listeners.serve_metrics(self._metrics, self.cfg)
 
     async def stop(self) -> None:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -18,7 +18,7 @@
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, goals, listeners
+from primrosesaddle.process import adapter, departures, goals, listeners
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -38,6 +38,7 @@
 DIRECTORY_TTL_S = 1.0  # within it, callers learn that an entry leaves
 LATE_CALLERS_FACTOR = 3  # some callers use a directory answer for 3 times its TTL
 SWEEP_INTERVAL_S = 0.2
+STOP_CHECK_INTERVAL_S = 0.05  # between checks for calls in flight while leaving
 STOP_MARGIN_S = 0.6  # before the platform kills a process that still runs
 MAX_ADDRESSES = 64  # callers accept no more
 IDLE_BEFORE_STOP_S = 0.3  # without a call, after the last caller may have connected
@@ -75,9 +76,13 @@
         self.backends.removal_listeners.append(
             lambda backend: self._connections.close_idle(backend.server_id)
         )
+        departures.share_departures(self.mesh, self.backends)
         self._admission = self._make_admission()
         self._forwarder = self._make_forwarder()
         self._request_intake = intake.RequestIntake(self._view, self._forwarder)
+        self._call_application = platform.applications.make_call_application(
+            self._request_intake
+        )
         self._reader = self._make_reader()
         self.mesh.is_store_reachable = lambda: self._reader.is_store_reachable
         self._servers: list[httpserver.HTTPServer] = []
@@ -125,20 +130,17 @@
 
     async def start(self) -> None:
         """Start every service."""
-        spawn = self.kernel.spawn
-        spawn(self._reader.run(), 'reader')
-        spawn(self._admission.run(), 'admission')
-        spawn(self._forwarder.watcher.run(), 'watcher')
-        spawn(self._run_sweeps(), 'sweep')
-        spawn(self.mesh.run(), 'mesh')
-        spawn(self.feed.run(), 'feed')
-        spawn(self._goal_sender.run(), 'goals')
+        keep_running = self.kernel.keep_running
+        keep_running(self._reader.run, 'reader')
+        keep_running(self._admission.run, 'admission')
+        keep_running(self._forwarder.watcher.run, 'watcher')
+        keep_running(self._run_sweeps, 'sweep')
+        keep_running(self.mesh.run, 'mesh')
+        keep_running(self.feed.run, 'feed')
+        keep_running(self._goal_sender.run, 'goals')
         self.mesh.start()
         applications = self._platform.applications
-        self._serve_application(
-            applications.make_call_application(self._request_intake),
-            self.cfg.listen.callers,
-        )
+        self._serve_application(self._call_application, self.cfg.listen.callers)
         self._serve_application(
             applications.make_readiness_application(lambda: self.ready),
             self.cfg.listen.ready,
@@ -166,18 +168,35 @@
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
         while self._clock() < stop_by:
-            await asyncio.sleep(0.05)
-            if self._request_intake.in_flight:
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+            if self._call_application.count_unanswered():
                 idle_since = self._clock()
             idle_s = self._clock() - max(idle_since, callers_gone_at)
             if idle_s > IDLE_BEFORE_STOP_S:
                 break
         for server in self._servers:
             server.stop()
+        await self._finish_last_calls(stop_by)
         await self.kernel.stop()
         await self.mesh.stop()
         self._connections.close()
 
+    async def _finish_last_calls(self, stop_by: float) -> None:
+        """Close the idle connections of callers, and answer what arrived meanwhile.
+
+        Kept connections would accept requests up to the end of the process, which then
+        cuts them off.
+        """
+        while True:
+            self._call_application.close_idle_connections()
+            if not self._call_application.count_unanswered():
+                return
+            if self._clock() >= stop_by:
+                break
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        unanswered = self._call_application.count_unanswered()
+        journal.warning('entry.interrupted', unanswered=unanswered)
+
     def apply_settings(self, cfg: node.Node) -> None:
         """Apply changed settings."""
         self.cfg = cfg
@@ -292,6 +311,8 @@
             body.ready_in_s,
         )
         self.backends.update_report(body.address, report)
+        if body.leaving:
+            self.backends.mark_leaving_at(body.address, body.start_time_ms)
 
     def _on_view_changed(self) -> None:
         """Apply changed records: origin, goals of agents, servers, waiting calls."""
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -39,7 +39,8 @@
     """The state that an engine reports.
 
     `models` maps a model to the layers that are loaded. `busy` is whether the engine
-    carries out an order. `pace` is over 1 when it is slower than its profile.
+    carries out an order. `pace` is over 1 when it is slower than its profile. `leaving`
+    is whether it says that it is leaving.
     """
 
     models: dict[str, layers.Span]
@@ -48,6 +49,7 @@
     queued: int
     pace: float
     start_time_ms: int
+    leaving: bool = False
 
 
 class Engine(area.StagingStore, typing.Protocol):
@@ -314,6 +316,7 @@
                 self._order is not None and not self._order.serves_on,
                 state.pace,
                 round(self._estimate_ready_s(state), 2),
+                state.leaving,
             )
         now = self._clock()
         if self._last_report is not None and _without_load(report) == _without_load(
--- a/src/primrosesaddle/telemetry/journal.py
+++ b/src/primrosesaddle/telemetry/journal.py
@@ -26,6 +26,7 @@
 # second, in a burst ten times as many.
 LINES_PER_S = 300.0
 BURST_LINES = 600.0
+MAX_VALUE_CHARS = 2000  # longer values are cut off
 _CHARS_TO_QUOTE = frozenset(' "=\n\r\t\\')
 
 
@@ -38,7 +39,7 @@
 
 def quote_value(value: object) -> str:
     """Return a value as text, in quotes if it could not be parsed without them."""
-    text = str(value)
+    text = str(value)[:MAX_VALUE_CHARS]
     if text and not _CHARS_TO_QUOTE.intersection(text):
         return text
     escaped = text.replace('\\', '\\\\').replace('"', '\\"')
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 import hypothesis
 import pytest
 
+import platformstand
 import support
 
 hypothesis.settings.register_profile(
@@ -66,3 +67,21 @@
     yield lambda check: runner.run(check(fleet))
     runner.run(holder.__aexit__(None, None, None))
     runner.close()
+
+
+@pytest.fixture
+def in_fleet():
+    """Return a function that runs a check in a fleet of scripted servers."""
+
+    def run(check, *servers, **options):
+        async def main():
+            fleet = platformstand.Fleet()
+            try:
+                await fleet.start(*servers, **options)
+                await check(fleet)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(main())
+
+    return run
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -248,8 +248,12 @@
     not_run: bool = False,
     request_id: str | None = None,
     claimed: int | None = None,
+    extra: tuple[str, ...] = (),
 ) -> Script:
-    """Return a script that answers whole, or short of the length it claims."""
+    """Return a script that answers whole, or short of the length it claims.
+
+    `extra` holds further header lines.
+    """
 
     async def run(seen: Seen) -> None:
         await send(
@@ -260,6 +264,7 @@
             not_run=not_run,
             request_id=request_id,
             claimed=claimed,
+            extra=extra,
         )
         if claimed is not None:
             raise ConnectionError
@@ -276,8 +281,9 @@
     not_run: bool = False,
     request_id: str | None = None,
     claimed: int | None = None,
+    extra: tuple[str, ...] = (),
 ) -> None:
-    """Send one answer."""
+    """Send one answer, with further header lines if given."""
     lines = [
         f'HTTP/1.1 {status} Status',
         f'Content-Length: {len(body) if claimed is None else claimed}',
@@ -287,6 +293,7 @@
         lines.append(f'{SEAL}: seal-1')
     if not_run:
         lines.append('X-Not-Executed: 1')
+    lines.extend(extra)
     seen.writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
     await seen.writer.drain()
 
@@ -312,14 +319,21 @@
     breaks_after: int | None = None,
     torn: bytes = b'',
     pause_s: float = 0.0,
+    is_ended: bool = True,
+    extra: tuple[str, ...] = (),
 ) -> Script:
-    """Return a script that streams from where it is asked to, and may break off."""
+    """Return a script that streams from where it is asked to, and may break off.
+
+    Without `is_ended` the end mark of the stream is left out.
+    """
 
     async def run(seen: Seen) -> None:
         head = (
             'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
             f'X-Attempt-Id: {seen.request_id}\r\n{SEAL}: seal-{id(run)}\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
+            'Transfer-Encoding: chunked\r\n'
+            + ''.join(f'{line}\r\n' for line in extra)
+            + '\r\n'
         )
         seen.writer.write(head.encode())
         begin = int(seen.headers.get('last-event-id', '0'))
@@ -332,8 +346,9 @@
                     _chunk(seen.writer, torn)
                     await seen.writer.drain()
                 raise ConnectionError
-        seen.writer.write(b'0\r\n\r\n')
-        await seen.writer.drain()
+        if is_ended:
+            seen.writer.write(b'0\r\n\r\n')
+            await seen.writer.drain()
 
     return run
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -9,24 +9,6 @@
 from primrosesaddle.net import upstream
 
 
-@pytest.fixture
-def in_fleet():
-    """Return a function that runs a check in a fleet of scripted servers."""
-
-    def run(check, *servers, **options):
-        async def main():
-            fleet = stand.Fleet()
-            try:
-                await fleet.start(*servers, **options)
-                await check(fleet)
-            finally:
-                await fleet.stop()
-
-        asyncio.run(main())
-
-    return run
-
-
 def _assert_equal(actual, expected):
     assertions.assert_that(actual, matchers.Equals(expected))
 
