Tests: ports that no other run takes, and logs of failed tests

Cause: three entries of KNOWN-RED.txt failed once each, their messages not kept. Ports named by the kernel were set free before they were used, so that a connection or another run could take them; a stand-in of another run may then answer, or none.

The message and log of each failed test are kept under build/failures, and the run names the file.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,7 @@
 import tracemalloc
 from collections.abc import Callable, Sequence
 
-from demo import layout
+from demo import layout, ports
 from demo.standins import common, conf
 
 from bench import configspread, path, report
@@ -194,7 +194,7 @@
 async def _idle_ms(count: int) -> float:
     """Return the processor time of one node in milliseconds a second."""
     service = conf.ConfigurationService()
-    address = layout.Ports().take()
+    address = ports.free_address()
     server = common.serve(conf.routes(service), address)
     service.publish(configspread.document(0))
     made = configspread.Fleet(count, f'http://{address}/v1/catalogue')
--- a/bench/configspread.py
+++ b/bench/configspread.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from demo import layout
+from demo import layout, ports
 from demo.standins import common, conf
 
 from bench import report
@@ -87,13 +87,10 @@
 
     def __init__(self, count: int, url: str) -> None:
         """Prepare the nodes."""
-        self._ports = layout.Ports()
         self._url = url
-        addresses = [self._ports.take() for _ in range(count)]
-        self._ports.release()
         self.nodes = [
-            Node(index, self._role(index), address, url)
-            for index, address in enumerate(addresses)
+            Node(index, self._role(index), ports.free_address(), url)
+            for index in range(count)
         ]
 
     def start(self) -> None:
@@ -105,8 +102,7 @@
     async def replace(self, index: int) -> None:
         """Kill a node, and start another in its place."""
         await self.nodes[index].stop()
-        address = self._ports.take()
-        self._ports.release()
+        address = ports.free_address()
         self.nodes[index] = Node(index, self._role(index), address, self._url)
         listed = [node.candidate() for node in self.nodes]
         for node in self.nodes:
@@ -150,7 +146,7 @@
 
 async def _one_size(count: int) -> tuple[float, float]:
     service = conf.ConfigurationService()
-    address = layout.Ports().take()
+    address = ports.free_address()
     server = common.serve(conf.routes(service), address)
     url = f'http://{address}/v1/catalogue'
     service.publish(document(0))
--- a/bench/path.py
+++ b/bench/path.py
@@ -10,7 +10,7 @@
 import typing
 
 import msgspec
-from demo import fleet, layout
+from demo import fleet, layout, ports
 
 from bench import report
 from primrosesaddle.core import httpio
@@ -119,9 +119,7 @@
         layout.Node('entry-1', 'entry', 'norte', 'quito-a'),
         layout.Node('asst-1', 'agent', 'norte', 'quito-a', layout.MODEL, 'engine'),
     ]
-    ports = layout.Ports()
-    address = ports.take()
-    ports.release()
+    address = ports.free_address()
     await running.start(nodes)
     relay = subprocess.Popen(
         [
--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from demo import layout
+from demo import ports
 from demo.standins import weightstore
 
 from primrosesaddle import roles
@@ -216,10 +216,7 @@
 
 
 def _addresses(count: int) -> list[str]:
-    ports = layout.Ports()
-    found = [ports.take() for _ in range(count)]
-    ports.release()
-    return found
+    return [ports.free_address() for _ in range(count)]
 
 
 async def naive_seconds(count: int, links: Links) -> tuple[float, float]:
--- a/bench/swarmfleet.py
+++ b/bench/swarmfleet.py
@@ -8,7 +8,7 @@
 import time
 import typing
 
-from demo import layout
+from demo import ports
 
 from bench import swarm
 from primrosesaddle.core import httpio
@@ -27,10 +27,8 @@
         """Prepare a fleet of a number of agents; options as of `swarm.Swarm`."""
         self.links = links
         self._count = count
-        ports = layout.Ports()
-        address = ports.take()
-        addresses = [ports.take() for _ in range(count)]
-        ports.release()
+        address = ports.free_address()
+        addresses = [ports.free_address() for _ in range(count)]
         self._url = f'http://{address}'
         self._told = {
             'url': self._url,
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -14,7 +14,7 @@
 
 import zmq
 
-from demo import layout
+from demo import layout, ports
 from primrosesaddle.core import httpio
 
 __all__ = ('Fleet', 'Running', 'main')
@@ -54,7 +54,6 @@
         self.processes: dict[str, Running] = {}
         self.manifests: dict[str, str] = {}
         self.document: dict[str, typing.Any] = {}
-        self._ports = layout.Ports()
         self._listed_names: list[str] = []
         self._list_task: asyncio.Task[None] | None = None
         self.urls: dict[str, str] = {}
@@ -70,7 +69,6 @@
         addresses = self._start_platform()
         for node in nodes:
             self._write_settings(node, addresses)
-        self._ports.release()
         for name in list(addresses):
             self._spawn_standin(name, addresses[name])
         await self._publish_first_versions()
@@ -155,7 +153,7 @@
     def _start_platform(self) -> dict[str, str]:
         """Choose the addresses of the platform's stand-ins, and return them by name."""
         addresses = {
-            name: self._ports.take()
+            name: ports.free_address()
             for name in ('conf', 'instances', 'store', 'origin', 'booking')
         }
         self.urls = {name: f'http://{addr}' for name, addr in addresses.items()}
@@ -163,8 +161,8 @@
 
     def _write_settings(self, node: layout.Node, addresses: dict[str, str]) -> None:
         """Choose the addresses of a node and its server, and write its settings."""
-        peers = self._ports.take()
-        admin = self._ports.take()
+        peers = ports.free_address()
+        admin = ports.free_address()
         ini = configparser.ConfigParser(interpolation=None)
         ini['process'] = {
             'role': node.role,
@@ -191,10 +189,10 @@
         }
         callers = ''
         if node.role == 'entry':
-            callers = self._ports.take()
+            callers = ports.free_address()
             ini['listen']['callers'] = callers
         else:
-            server = self._ports.take()
+            server = ports.free_address()
             ini['server'] = {
                 'kind': node.kind,
                 'serves': node.serves,
--- a/demo/layout.py
+++ b/demo/layout.py
@@ -2,10 +2,9 @@
 
 import dataclasses
 import hashlib
-import socket
 import typing
 
-__all__ = ('Node', 'Ports', 'catalogue', 'nodes')
+__all__ = ('Node', 'catalogue', 'nodes')
 
 REGIONS = (('norte', 'quito-a'), ('austro', 'cuenca-a'), ('costa', 'guayaquil-a'))
 STORE_REGION = 'norte'
@@ -37,28 +36,6 @@
     kind: str = ''
 
 
-class Ports:
-    """Free loopback addresses, whose sockets stay bound until all are chosen."""
-
-    def __init__(self) -> None:
-        """Create an allocator that holds no address."""
-        self._bound_sockets: list[socket.socket] = []
-
-    def take(self) -> str:
-        """Return a free address as IP:PORT, and keep it bound."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(('127.0.0.1', 0))
-        self._bound_sockets.append(sock)
-        return '127.0.0.1:{0}'.format(sock.getsockname()[1])
-
-    def release(self) -> None:
-        """Unbind the addresses, so that processes can listen on them."""
-        for sock in self._bound_sockets:
-            sock.close()
-        self._bound_sockets.clear()
-
-
 def nodes(entries: int = 4, engines: int = 6, planners: int = 2) -> list[Node]:
     """Return the nodes of a fleet, assigned to the regions in turn."""
     fleet_nodes = []
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,14 @@
 """Shared fixtures; every run draws the same examples."""
 
 import asyncio
+import collections
 import logging
 import os
 import pathlib
+import re
 
 import hypothesis
+import logbook
 import pytest
 
 import platformstand
@@ -29,7 +32,54 @@
 logging.getLogger('tornado').setLevel(logging.CRITICAL)
 
 
-KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+ROOT = pathlib.Path(__file__).parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+FAILURES = ROOT / 'build' / 'failures'
+KEPT_LINES = 5000  # of the log of each test
+
+
+class LogLines(logbook.Handler):
+    """The last log lines of the running test."""
+
+    def __init__(self):
+        super().__init__(level='INFO', bubble=True)
+        self.lines = collections.deque(maxlen=KEPT_LINES)
+
+    def emit(self, record):
+        self.lines.append(f'{record.time.isoformat()} {record.message}')
+
+
+log_lines = LogLines()
+log_lines.push_application()
+
+
+def pytest_runtest_setup(item):
+    """Begin the log of a test."""
+    log_lines.lines.clear()
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Keep the message and log of a test that failed, one listed as red included."""
+    report = yield
+    if call.excinfo is None or call.excinfo.errisinstance(pytest.skip.Exception):
+        return report
+    FAILURES.mkdir(parents=True, exist_ok=True)
+    name = re.sub(r'[^\w.-]+', '-', item.nodeid)[-150:]
+    kept = FAILURES / f'{os.getpid()}-{name}.txt'
+    parts = [item.nodeid, str(call.excinfo.getrepr()), *log_lines.lines]
+    kept.write_text('\n'.join(parts), errors='replace')
+    item.config.stash.setdefault(FAILURE_FILES, []).append(kept)
+    return report
+
+
+FAILURE_FILES = pytest.StashKey()
+
+
+def pytest_terminal_summary(terminalreporter, config):
+    """Name the files with the logs of failed tests."""
+    for kept in config.stash.get(FAILURE_FILES, []):
+        terminalreporter.write_line(f'kept: {kept.relative_to(ROOT)}')
 
 
 def pytest_collection_modifyitems(items):
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -6,11 +6,10 @@
 import contextlib
 import dataclasses
 import json
-import random
-import socket
 import typing
 from collections.abc import Awaitable, Callable
 
+from demo import ports
 from tornado import httpserver, web
 
 from primrosesaddle.fleet import node
@@ -36,21 +35,6 @@
 }
 
 
-# Below the ports that the kernel gives to connections, so that none takes a free one.
-_PORTS = range(20000, 32000)
-_ports = iter(random.sample(_PORTS, len(_PORTS)))
-
-
-def free_address() -> str:
-    """Return an address on loopback that is free now."""
-    while True:
-        port = next(_ports)
-        with socket.socket() as sock:
-            with contextlib.suppress(OSError):
-                sock.bind(('127.0.0.1', port))
-                return f'127.0.0.1:{port}'
-
-
 class Store:
     """The store: items with revisions, ranges and waiting watches.
 
@@ -65,7 +49,7 @@
         self.mute = False
         self.watching = 0
         self.sent: collections.Counter[str] = collections.Counter()
-        self.address = free_address()
+        self.address = ports.free_address()
         self._changed = asyncio.Event()
         self._server: httpserver.HTTPServer | None = None
 
@@ -185,7 +169,7 @@
         self.seen: list[Seen] = []
         self.closed = 0
         self.connections = 0
-        self.address = free_address()
+        self.address = ports.free_address()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -601,11 +585,11 @@
         contact_s=CONTACT_S,
     )
     listen = node.Listen(
-        callers=free_address(),
-        ready=free_address(),
-        directory=free_address(),
-        peers=free_address(),
-        metrics=free_address(),
+        callers=ports.free_address(),
+        ready=ports.free_address(),
+        directory=ports.free_address(),
+        peers=ports.free_address(),
+        metrics=ports.free_address(),
     )
     return node.Node(
         name='entry-1',
--- a/tests/support.py
+++ b/tests/support.py
@@ -8,7 +8,7 @@
 import typing
 from collections.abc import Callable
 
-from demo import layout
+from demo import layout, ports
 from demo.standins import common, conf, instancelist, plainservice, weightstore
 from demo.standins import engine as engines
 
@@ -77,7 +77,6 @@
         self.manifests: dict[str, str] = {}
         self.document: dict[str, typing.Any] = {}
         self.ttl_s = 0.2
-        self._ports = layout.Ports()
         self._servers: list[typing.Any] = []
         self._urls: dict[str, str] = {}
 
@@ -90,9 +89,7 @@
 
     def address(self) -> str:
         """Return a free address."""
-        address = self._ports.take()
-        self._ports.release()
-        return address
+        return ports.free_address()
 
     async def start_platform(self, homes: tuple[str, ...]) -> None:
         """Serve the platform, and publish the first catalogue."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+from demo import ports
 from testtools import assertions, matchers
 
 import platformstand as stand
@@ -90,7 +91,7 @@
     async def check(fleet):
         for _ in range(3):
             await fleet.join()
-        await fleet.join(store=stand.free_address())
+        await fleet.join(store=ports.free_address())
         await _wait_until_adopted(fleet, 1)
         await asyncio.sleep(SETTLED_S)
         before = [entry.feed.items_bytes for entry in fleet.entries]
