Key owner: an entry that lags is asked again at once

An agent asks entries which keys they sent elsewhere; an entry that did not have the configuration yet gave no answer, and the agent, which asks all at once, waited 2 s for it, longer than calls wait.

Change: an entry that knows other owners says so, and is asked again after 0.1 s; each entry is asked by itself, so that a silent one holds up no other.

--- a/src/primrosesaddle/gateway/dispatch.py
+++ b/src/primrosesaddle/gateway/dispatch.py
@@ -145,11 +145,12 @@
     ) -> None:
         """Report to an owner which keys of its service were sent to other owners.
 
-        `owners` is the digest of the owners that this entry uses. It does not answer
-        an owner that uses others or that it does not know under this channel.
+        `owners` is the digest of the owners that this entry uses. An owner that uses
+        others, or that it does not know under this channel, is told to ask again.
         """
         peer = self._members.find_by_channel(channel)
         if peer is None or query.owners_digest != owners:
+            channel.send(wire.YesNo(yes=False), rid, reply=True)
             return
         keys = self._forward_log.keys_sent_elsewhere(
             f'/{query.service}/',
--- a/src/primrosesaddle/gateway/keyowner.py
+++ b/src/primrosesaddle/gateway/keyowner.py
@@ -44,6 +44,7 @@
         self._config = conf
         self._ledger = ledger
         self._run_tasks: set[asyncio.Task[None]] = set()
+        self._queries: dict[str, asyncio.Task[None]] = {}  # by incarnation of the entry
 
     async def run_call(self, scheduled: scheduler.ScheduledCall) -> None:
         """Run a call and send its complete answer.
@@ -66,20 +67,26 @@
     async def query_entries(self) -> None:
         """Ask entries for the keys they sent to other owners, until cancelled.
 
-        Every entry is asked until it has answered for the list of servers in force.
+        Every entry is asked until it has answered for the list of servers in force,
+        each by itself: one that is silent does not delay the others.
         """
-        while True:
-            await asyncio.sleep(QUERY_INTERVAL_S)
-            entry = self._config.current.get('service', self._serves)
-            if entry is None:
+        try:
+            while True:
+                await asyncio.sleep(QUERY_INTERVAL_S)
+                entry = self._config.current.get('service', self._serves)
+                if entry is not None:
+                    self._ledger.set_owners(owners_digest(entry))
+                    self._start_queries()
+        finally:
+            for task in list(self._queries.values()):
+                task.cancel()
+
+    def _start_queries(self) -> None:
+        for peer in self._members.alive_peers('entry'):
+            incarnation = peer.card.incarnation
+            if self._ledger.has_reported(incarnation) or incarnation in self._queries:
                 continue
-            self._ledger.set_owners(owners_digest(entry))
-            queries = [
-                self._query(peer)
-                for peer in self._members.alive_peers('entry')
-                if not self._ledger.has_reported(peer.card.incarnation)
-            ]
-            await asyncio.gather(*queries)
+            self._queries[incarnation] = asyncio.create_task(self._query(peer))
 
     @property
     def history_complete(self) -> bool:
@@ -109,6 +116,8 @@
             body = await peer.channel.request(query, QUERY_TIMEOUT_S)
         except (TimeoutError, link.ChannelClosed):
             return
+        finally:
+            self._queries.pop(peer.card.incarnation, None)
         if isinstance(body, wire.ForwardedKeys):
             self._ledger.add_forwarded_keys(peer.card.incarnation, owners, body.keys)
             journal.info(
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import types
 
 import pytest
 from hypothesis import settings as hsettings
@@ -11,7 +12,8 @@
 
 import support
 from primrosesaddle.core import verdict
-from primrosesaddle.gateway import atmostonce
+from primrosesaddle.gateway import atmostonce, keyowner
+from primrosesaddle.membership import peers, wire
 
 RETENTION_S = 900
 
@@ -334,3 +336,73 @@
 TestOwnerMachine.settings = hsettings(
     max_examples=150, stateful_step_count=40, deadline=None
 )
+
+
+class QueriedEntry:
+    """The channel to an entry that answers queries as told, or never."""
+
+    closed = False
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def request(self, body, timeout_s):
+        if not self.answers:
+            await asyncio.sleep(timeout_s)
+            raise TimeoutError
+        return self.answers.pop(0)
+
+
+def test_entry_that_lags_is_asked_for_its_keys_again():
+    """Just after a start an entry may not know yet who owns the keys of a service.
+
+    Calls wait a second for its report, so that it is asked again at once, and an entry
+    that is silent must not hold that up.
+    """
+
+    async def main():
+        ledger = atmostonce.KeyLedger('1', RETENTION_S)
+        channels = {
+            'late': QueriedEntry(wire.YesNo(yes=False), wire.ForwardedKeys(())),
+            'silent': QueriedEntry(),
+        }
+        alive = [
+            peers.Peer(wire.Card(name, 'entry', name, '', 'r', 'd'), channel, 0.0)
+            for name, channel in channels.items()
+        ]
+        service = types.SimpleNamespace(servers=['book-1'])
+        runner = keyowner.PlainServiceRunner(
+            '',
+            'bookings',
+            types.SimpleNamespace(alive_peers=lambda role: alive),
+            types.SimpleNamespace(
+                current=types.SimpleNamespace(get=lambda kind, name: service)
+            ),
+            ledger,
+        )
+        task = asyncio.create_task(runner.query_entries())
+        await asyncio.sleep(5 * keyowner.QUERY_INTERVAL_S)
+        _assert_reported(ledger, {'late': True, 'silent': False})
+        task.cancel()
+
+    asyncio.run(main())
+
+
+def _assert_reported(ledger, expected):
+    reported = {name: ledger.has_reported(name) for name in expected}
+    assertions.assert_that(reported, matchers.Equals(expected))
+
+
+def test_entry_that_knows_other_owners_tells_to_ask_again(in_cluster):
+    """It answers at once, as a query without an answer ends only after seconds."""
+
+    async def body(fleet):
+        owner = fleet.nodes['book-1'].find('members')
+        peer = next(
+            peer for peer in owner.alive_peers('entry') if peer.card.name == 'entry-1'
+        )
+        query = wire.PriorKeysRequest('bookings', 'other owners')
+        answer = await peer.channel.request(query, 1.0)
+        assertions.assert_that(answer, matchers.Equals(wire.YesNo(yes=False)))
+
+    in_cluster(body, agents=0)
