Less processor time: sockets between processes, timers and reads of answers

An event of an answer cost two changes of what the loop listens for.

Change: membership/messagesocket.py receives without futures; admission and watcher wait until there is a call; links are chosen when candidates change; a stream of an answer listens between reads.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -105,6 +105,7 @@
         self._get_required_version = get_required_version
         self._clock = clock
         self._queues: dict[str, _Queue] = {}
+        self._has_waiters = asyncio.Event()
 
     def count_waiting(self) -> int:
         """Return the number of calls that wait."""
@@ -190,11 +191,15 @@
     async def run(self) -> None:
         """Grant slots and refuse calls that waited too long, until cancelled."""
         while True:
+            await self._has_waiters.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self._has_waiters.clear()
             for name, queue in self._queues.items():
                 if len(queue):
                     self.grant_slots(name)
                     self._refuse_expired(queue)
+                if len(queue):
+                    self._has_waiters.set()
 
     async def _wait(
         self,
@@ -209,6 +214,7 @@
         queue.ranks[_get_queue_rank(call)].append(
             _Waiter(call, service, expires_at, fut)
         )
+        self._has_waiters.set()
         try:
             return await fut
         except asyncio.CancelledError:
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -31,10 +31,12 @@
         self._can_go_elsewhere = can_go_elsewhere
         self._clock = clock
         self._attempts: set[attempts.Attempt] = set()
+        self._has_attempts = asyncio.Event()
 
     def add(self, attempt: attempts.Attempt) -> None:
         """Start to watch an attempt, whose request is about to be sent."""
         self._attempts.add(attempt)
+        self._has_attempts.set()
 
     def discard(self, attempt: attempts.Attempt) -> None:
         """Stop watching an attempt."""
@@ -42,13 +44,15 @@
 
     async def run(self) -> None:
         """Check every attempt at intervals, until cancelled."""
-        checked_at = self._clock()
         while True:
+            self._has_attempts.clear()
+            if not self._attempts:
+                await self._has_attempts.wait()
+            checked_at = self._clock()
             await asyncio.sleep(CHECK_INTERVAL_S)
             late_s = self._clock() - checked_at - CHECK_INTERVAL_S
             if late_s > LATE_CHECK_S:
                 journal.info('watcher.late', late_s=round(late_s, 3))
-            checked_at = self._clock()
             for attempt in list(self._attempts):
                 self._check(attempt)
 
--- a/src/primrosesaddle/membership/dialler.py
+++ b/src/primrosesaddle/membership/dialler.py
@@ -1,6 +1,5 @@
 """Outgoing connections: opening, supervision, and retries with back-off."""
 
-import asyncio
 import dataclasses
 import random
 from collections.abc import Callable, Iterable
@@ -27,7 +26,6 @@
     """One address that this process connects to: its connection and retries."""
 
     conn: link.DealerLink | None = None
-    tasks: 'tuple[asyncio.Task[None], ...]' = ()
     opened_at: float = 0
     attempts: int = 0
     retry_at: float = 0
@@ -135,19 +133,12 @@
 
     def _open(self, address: str, outgoing: _Outgoing, now: float) -> None:
         outgoing.conn = link.dial(address, self._hooks, self._make_hello(), self._keys)
-        outgoing.tasks = (
-            asyncio.create_task(outgoing.conn.serve()),
-            asyncio.create_task(outgoing.conn.watch()),
-        )
         outgoing.opened_at = now
 
     def _close_connection(self, outgoing: _Outgoing) -> None:
-        for task in outgoing.tasks:
-            task.cancel()
         if outgoing.conn is not None:
             outgoing.conn.close()
         outgoing.conn = None
-        outgoing.tasks = ()
 
 
 def _silence_timeout_s(outgoing: _Outgoing, dead_s: float) -> float:
--- a/src/primrosesaddle/membership/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -4,16 +4,14 @@
 import dataclasses
 import itertools
 import pathlib
-import typing
 from collections.abc import Callable
 
 import msgspec
 import zmq
 import zmq.asyncio
 import zmq.auth.asyncio
-import zmq.utils.monitor
 
-from primrosesaddle.membership import wire
+from primrosesaddle.membership import messagesocket, wire
 from primrosesaddle.telemetry import journal
 
 __all__ = ('Channel', 'ChannelClosed', 'RouterLink', 'Stream', 'dial', 'bind_router')
@@ -21,6 +19,7 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_SESSIONS = 4096
 MAX_SOCKETS = 8192
+CLOSE_LINGER_MS = 200  # for the last messages of a process, as that it leaves
 
 MessageHandler = Callable[['Channel', int, wire.Body], None]
 RevisionListener = Callable[['Channel', int], None]
@@ -177,19 +176,11 @@
 class RouterLink:
     """The ROUTER socket on which peers reach this process."""
 
-    def __init__(self, sock: zmq.asyncio.Socket, hooks: Hooks) -> None:
-        """Wrap a bound socket."""
-        self._sock = sock
+    def __init__(self, sock: 'zmq.Socket[bytes]', hooks: Hooks) -> None:
+        """Deliver the messages that a bound socket receives."""
         self._hooks = hooks
         self._sessions: dict[bytes, Channel] = {}
-
-    async def serve(self) -> None:
-        """Deliver received messages, until cancelled."""
-        while True:
-            identity, *frames = await self._sock.recv_multipart()
-            channel = self._sessions.get(identity)
-            for frame in frames:
-                channel = self._handle_frame(identity, channel, frame)
+        self._messages = messagesocket.MessageSocket(sock, self._receive)
 
     def drop(self, channel: Channel) -> None:
         """Close the session of a channel, such as of a silent peer."""
@@ -208,7 +199,13 @@
         for channel in self.sessions:
             channel.close()
         self._sessions.clear()
-        self._sock.close(linger=200)
+        self._messages.close(CLOSE_LINGER_MS)
+
+    def _receive(self, message: list[bytes]) -> None:
+        identity, *frames = message
+        channel = self._sessions.get(identity)
+        for frame in frames:
+            channel = self._handle_frame(identity, channel, frame)
 
     def _handle_frame(
         self,
@@ -238,7 +235,7 @@
             journal.warning('link.full', sessions=len(self._sessions))
             return None
         channel = Channel(
-            lambda frames: _send_multipart(self._sock, [identity, *frames]),
+            lambda frames: self._messages.send([identity, *frames]),
             self._hooks.get_revision,
         )
         self._sessions[identity] = channel
@@ -248,43 +245,42 @@
         envelope = wire.Envelope(
             self._hooks.get_revision(), 0, False, wire.NotIntroduced()
         )
-        _send_multipart(self._sock, [identity, wire.encode(envelope)])
+        self._messages.send([identity, wire.encode(envelope)])
 
 
 class DealerLink:
     """A DEALER socket to one peer, with its channel."""
 
     def __init__(
-        self, sock: zmq.asyncio.Socket, hooks: Hooks, hello: wire.Hello
+        self, sock: 'zmq.Socket[bytes]', hooks: Hooks, hello: wire.Hello
     ) -> None:
-        """Wrap a connecting socket, and send `hello` on it."""
+        """Send `hello` on a connecting socket, and deliver what it receives.
+
+        The channel is closed when the connection breaks.
+        """
         self._sock = sock
         self._hooks = hooks
         self._hello = hello
-        self.channel = Channel(
-            lambda frames: _send_multipart(sock, frames), hooks.get_revision
+        self._messages = messagesocket.MessageSocket(sock, self._receive)
+        self.channel = Channel(self._messages.send, hooks.get_revision)
+        self._monitor = messagesocket.MessageSocket(
+            sock.get_monitor_socket(zmq.EVENT_DISCONNECTED),
+            lambda _: self.channel.close(),
         )
         self.channel.send(hello)
 
-    async def watch(self) -> None:
-        """Wait until the connection breaks, and close the channel then."""
-        monitor = self._sock.get_monitor_socket(zmq.EVENT_DISCONNECTED)
-        await zmq.utils.monitor.recv_monitor_message(monitor)  # type: ignore[misc]
-        self.channel.close()
-
-    async def serve(self) -> None:
-        """Deliver received messages, until cancelled."""
-        while True:
-            for frame in await self._sock.recv_multipart():
-                envelope = _decode(frame)
-                if envelope is not None:
-                    self._handle_envelope(envelope)
-
     def close(self) -> None:
         """Close the socket at once; unsent messages are dropped."""
         self.channel.close()
+        self._monitor.close()
         self._sock.disable_monitor()
-        self._sock.close(linger=0)
+        self._messages.close()
+
+    def _receive(self, message: list[bytes]) -> None:
+        for frame in message:
+            envelope = _decode(frame)
+            if envelope is not None:
+                self._handle_envelope(envelope)
 
     def _handle_envelope(self, envelope: wire.Envelope) -> None:
         if isinstance(envelope.body, wire.NotIntroduced):
@@ -345,7 +341,7 @@
 def make_authenticator(keys: CurveKeys) -> zmq.auth.asyncio.AsyncioAuthenticator:
     """Start an authenticator that accepts only peers with the fleet's public key."""
     authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-        zmq.asyncio.Context.instance()
+        zmq.asyncio.Context(zmq.Context.instance())
     )
     authenticator.start()
     authenticator.configure_curve_callback(credentials_provider=_FleetKey(keys.public))
@@ -361,8 +357,8 @@
         return key == self._public
 
 
-def _make_socket(kind: int) -> zmq.asyncio.Socket:
-    context = zmq.asyncio.Context.instance()
+def _make_socket(kind: int) -> 'zmq.Socket[bytes]':
+    context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.instance()
     context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
     sock = context.socket(kind)
     sock.linger = 0
@@ -374,21 +370,6 @@
     return sock
 
 
-def _send_multipart(sock: zmq.asyncio.Socket, frames: list[bytes]) -> None:
-    if sock.closed:
-        return
-    fut = typing.cast(
-        'asyncio.Future[typing.Any]',
-        sock.send_multipart(frames, zmq.NOBLOCK),
-    )
-    fut.add_done_callback(_log_unsent)
-
-
-def _log_unsent(fut: 'asyncio.Future[typing.Any]') -> None:
-    if not fut.cancelled() and fut.exception() is not None:
-        journal.debug('link.unsent', error=repr(fut.exception()))
-
-
 def _decode(frame: bytes) -> wire.Envelope | None:
     try:
         return wire.decode(frame)
--- a/src/primrosesaddle/membership/membertable.py
+++ b/src/primrosesaddle/membership/membertable.py
@@ -54,6 +54,7 @@
         self._dialler = dialler.Dialler(hooks, keys, self._make_hello, rand)
         self._clock = clock
         self._candidates: dict[str, peers.Candidate] = {}
+        self._chosen_links: list[peers.Candidate] | None = None
         self._router: link.RouterLink | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._nonces = itertools.count(1)
@@ -61,10 +62,8 @@
 
     def start(self, seeds: Iterable[str]) -> None:
         """Bind the listener for peers, and start to connect to the seed addresses."""
-        for address in seeds:
-            self._candidates[address] = peers.Candidate(address)
+        self._set_candidates({address: peers.Candidate(address) for address in seeds})
         self._router = link.bind_router(self.card.address, self.hooks, self._keys)
-        self._tasks.append(asyncio.create_task(self._router.serve()))
         self._tasks.append(asyncio.create_task(self._run()))
 
     async def stop(self) -> None:
@@ -87,13 +86,16 @@
             for address, candidate in self._candidates.items()
             if not candidate.role and address not in listed
         }
-        self._candidates = {**seeds, **listed}
+        self._set_candidates({**seeds, **listed})
 
     def add_candidates(self, candidates: Iterable[peers.Candidate]) -> None:
         """Add candidates to connect to, except for this process."""
-        for candidate in candidates:
-            if candidate.address != self.card.address:
-                self._candidates[candidate.address] = candidate
+        added = {
+            candidate.address: candidate
+            for candidate in candidates
+            if candidate.address != self.card.address
+        }
+        self._set_candidates({**self._candidates, **added})
 
     def make_roster(self) -> wire.Roster:
         """Return a roster of the entries alive, including this process if it is one."""
@@ -292,7 +294,11 @@
 
     def _select_wanted(self, now: float) -> list[peers.Candidate]:
         """Return the candidates to keep a link to."""
-        wanted = peers.choose_links(self.card, self._candidates.values())
+        if self._chosen_links is None:
+            self._chosen_links = peers.choose_links(
+                self.card, self._candidates.values()
+            )
+        wanted = self._chosen_links
         return wanted + [
             candidate
             for candidate in self._candidates.values()
@@ -300,6 +306,12 @@
             and candidate not in wanted
         ]
 
+    def _set_candidates(self, candidates: dict[str, peers.Candidate]) -> None:
+        """Replace the candidates; the links are chosen again if one has changed."""
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._chosen_links = None
+
     def _is_linked(self, name: str) -> bool:
         peer = self.peers.get(name)
         return peer is not None and peer.is_alive(self._clock(), self.suspect_s)
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -28,6 +28,7 @@
 USER_TIMEOUT_MS = 3000  # a connection with bytes unacknowledged for longer is closed
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_READ_AHEAD_BYTES = 64 * 1024  # received before they are asked for
 MAX_STRAY_ANSWERS = 2  # late answers to earlier requests that are skipped
 _NO_BODY = frozenset((204, 304))
 
@@ -52,13 +53,32 @@
 
 
 class Stream(iostream.IOStream):
-    """A stream that tells whether it has received bytes that were not read."""
+    """A stream that tells whether it has received bytes that were not read.
+
+    It listens for data between two reads as well, since to stop and start again costs
+    two system calls for each event of an answer.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Wrap a socket."""
+        super().__init__(sock, max_buffer_size=MAX_BODY_BYTES, read_chunk_size=16384)
+        self._is_delayed = True
 
     @property
     def has_unread(self) -> bool:
         """Tell whether received bytes wait to be read."""
         return self._read_buffer_size > 0
 
+    def reading(self) -> bool:
+        """Tell whether to listen for data: always, unless much of it is not read."""
+        return super().reading() or self._read_buffer_size < MAX_READ_AHEAD_BYTES
+
+    def set_nodelay(self, value: bool) -> None:
+        """Send small writes at once; once set, that is kept for later requests."""
+        if value and self._is_delayed:
+            self._is_delayed = False
+            super().set_nodelay(value)
+
 
 class Connection:
     """One open connection.
@@ -242,7 +262,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     enable_keepalive(sock)
-    stream = Stream(sock, max_buffer_size=MAX_BODY_BYTES, read_chunk_size=16384)
+    stream = Stream(sock)
     try:
         await asyncio.wait_for(
             stream.connect(addresses.split_address(address)), timeout_s
