Answers of servers: read by httptools, without futures

Cause: of the processor time of a call with a stream of 18 events, more than half was spent on reading the chunks of its answer: three reads and their futures for each event. httptools is a parser of its own kind (llhttp), well kept, with wheels for both machines.

Change: net/upstream.py is a protocol of the event loop that feeds the parser.

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -1,15 +1,15 @@
 """HTTP connections to servers, each carrying one request at a time."""
 
 import asyncio
-import contextlib
 import enum
 import socket
 import typing
 from collections.abc import Awaitable, Callable, Iterable
 
-from tornado import http1connection, httputil, iostream
+import httptools
+from tornado import httputil
 
-from primrosesaddle.core import addresses, futures
+from primrosesaddle.core import addresses
 
 __all__ = (
     'Connection',
@@ -28,11 +28,11 @@
 USER_TIMEOUT_MS = 3000  # a connection with bytes unacknowledged for longer is closed
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_READ_AHEAD_BYTES = 64 * 1024  # received before they are asked for
 MAX_STRAY_ANSWERS = 2  # late answers to earlier requests that are skipped
 _NO_BODY = frozenset((204, 304))
+_METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
-_UNREACHABLE = (OSError, iostream.StreamClosedError, TimeoutError, ValueError)
+_UNREACHABLE = (OSError, TimeoutError, ValueError, OverflowError)
 
 Pairs = Iterable[tuple[str, str]]
 
@@ -52,52 +52,29 @@
     """The received data is not an acceptable answer; the message says why."""
 
 
-class Stream(iostream.IOStream):
-    """A stream that tells whether it has received bytes that were not read.
-
-    It listens for data between two reads as well, since to stop and start again costs
-    two system calls for each event of an answer.
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        """Wrap a socket."""
-        super().__init__(sock, max_buffer_size=MAX_BODY_BYTES, read_chunk_size=16384)
-        self._is_delayed = True
-
-    @property
-    def has_unread(self) -> bool:
-        """Tell whether received bytes wait to be read."""
-        return self._read_buffer_size > 0
-
-    def reading(self) -> bool:
-        """Tell whether to listen for data: always, unless much of it is not read."""
-        return super().reading() or self._read_buffer_size < MAX_READ_AHEAD_BYTES
-
-    def set_nodelay(self, value: bool) -> None:
-        """Send small writes at once; once set, that is kept for later requests."""
-        if value and self._is_delayed:
-            self._is_delayed = False
-            super().set_nodelay(value)
-
-
-class Connection:
+class Connection(asyncio.Protocol):
     """One open connection.
 
     `idle_since` is in the event loop's time. `idle_limit_s` is the idle timeout
     that the server announced, 0 if none. `keep_alive` is false if the connection must
     not carry another request. `closed_locally` tells whether this side closed it.
-    `sent_count` is the number of requests sent on it.
+    `sent_count` is the number of requests sent on it. `error` is what broke it, None
+    if the server closed it in order.
     """
 
-    def __init__(self, address: str, stream: Stream) -> None:
-        """Wrap a connected stream."""
+    def __init__(self, address: str, sock: socket.socket) -> None:
+        """Prepare the connection of a connected socket."""
         self.address = address
-        self.stream = stream
         self.idle_since = 0.0
         self.idle_limit_s = 0.0
         self.keep_alive = True
         self.closed_locally = False
         self.sent_count = 0
+        self.error: Exception | None = None
+        self._sock = sock
+        self._is_closed = False
+        self._exchange: Exchange | None = None
+        self._transport: asyncio.Transport | None = None
 
     @property
     def is_reusable(self) -> bool:
@@ -105,15 +82,58 @@
 
         The connection must be open, and nothing unexpected must have been received.
         """
-        if self.stream.closed() or self.stream.has_unread or not self.keep_alive:
+        if self._is_closed or self._exchange is not None or not self.keep_alive:
             return False
-        return _is_idle_and_open(self.stream.socket)
+        return _is_idle_and_open(self._sock)
 
     def close(self) -> None:
         """Close the connection at once."""
         self.keep_alive = False
         self.closed_locally = True
-        self.stream.close()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def start_exchange(self, exchange: 'Exchange', request: bytes) -> None:
+        """Send a request; what is received from now on goes to its exchange."""
+        self._exchange = exchange
+        self.sent_count += 1
+        if self._is_closed or self._transport is None:
+            exchange.end_with_connection(self.error)
+        else:
+            self._transport.write(request)
+
+    def end_exchange(self) -> None:
+        """Receive nothing more for the exchange; further data makes this unusable."""
+        self._exchange = None
+        self.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Stop receiving until `resume_reading`."""
+        if self._transport is not None and not self._is_closed:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive again."""
+        if self._transport is not None and not self._is_closed:
+            self._transport.resume_reading()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; called by the event loop."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on received data; data that belongs to no exchange ends the use."""
+        if self._exchange is None:
+            self.close()
+        else:
+            self._exchange.receive(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange; called by the event loop."""
+        self._is_closed = True
+        self.error = exc
+        if self._exchange is not None:
+            self._exchange.end_with_connection(exc)
 
 
 class Head(typing.NamedTuple):
@@ -124,12 +144,13 @@
     headers: httputil.HTTPHeaders
 
 
-class Exchange(httputil.HTTPMessageDelegate):
+class Exchange:
     """One request and its answer on a connection.
 
     `on_head` and `on_body` are called while the answer is received; `on_body` may raise
-    `InvalidAnswer`. `is_own_answer` tells from the headers whether an answer belongs to
-    this request and not to an earlier one. `failure` says why an answer is incomplete.
+    `InvalidAnswer`, and its result is awaited before more is received. `is_own_answer`
+    tells from the headers whether an answer belongs to this request and not to an
+    earlier one. `failure` says why an answer is incomplete.
     """
 
     def __init__(
@@ -141,11 +162,20 @@
     ) -> None:
         """Prepare an exchange on an idle connection."""
         self._conn = conn
-        self._http = _make_http_connection(conn.stream)
         self._on_head = on_head
         self._on_body = on_body
         self._is_own_answer = is_own_answer
+        self._is_head_request = False
+        self._ended: 'asyncio.Future[None]'
+        self._ended = asyncio.get_running_loop().create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = httputil.HTTPHeaders()
+        self._reason = ''
+        self._in_body = False
         self._is_stray = False
+        self._stray_count = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._ends_at_close = False
         self._is_complete = False
         self.failure = ''
@@ -154,98 +184,143 @@
         self, method: str, target: str, headers: Pairs, body: bytes
     ) -> None:
         """Send the complete request; add its length to the headers."""
-        all_headers = httputil.HTTPHeaders()
-        for name, text in headers:
-            all_headers.add(name, text)
-        if body or method not in {'GET', 'HEAD', 'DELETE', 'OPTIONS'}:
-            all_headers['Content-Length'] = str(len(body))
-        start = httputil.RequestStartLine(method, target, 'HTTP/1.1')
-        self._conn.sent_count += 1
-        with contextlib.suppress(iostream.StreamClosedError):
-            sent = self._http.write_headers(start, all_headers, body)
-            sent.add_done_callback(futures.retrieve_exception)
-            self._http.finish()
+        self._is_head_request = method == 'HEAD'
+        lines = [f'{method} {target} HTTP/1.1']
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        if body or method not in _METHODS_WITHOUT_BODY:
+            lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join(lines).encode('latin1')
+        self._conn.start_exchange(self, head + b'\r\n\r\n' + body)
 
     async def read_answer(self) -> Ending:
-        """Read the answer to its end, and return whether it is complete.
+        """Wait for the end of the answer, and return whether it is complete.
 
         Up to `MAX_STRAY_ANSWERS` late answers to earlier requests are skipped.
         """
-        for _ in range(MAX_STRAY_ANSWERS + 1):
-            if not (await self._read_one() and self._is_stray):
-                break
-            self._http = _make_http_connection(self._conn.stream)
-            self._http.finish()
-        # An answer that ends with the connection is complete if the server closed it.
-        is_complete = self._is_complete and not (
-            self._ends_at_close and (self._conn.closed_locally or self._was_reset)
-        )
-        if not is_complete:
-            self.failure = self.failure or self._describe_failure()
-        if self._ends_at_close or not is_complete:
+        try:
+            await self._ended
+        finally:
+            self._conn.end_exchange()
+        if self._ends_at_close or not self._is_complete:
             self._conn.close()
-        return Ending.COMPLETE if is_complete else Ending.BROKEN
+        return Ending.COMPLETE if self._is_complete else Ending.BROKEN
 
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
+    def receive(self, received: bytes) -> None:
+        """Parse received data."""
+        if self._ended.done():
+            self._conn.keep_alive = False
+            return
+        if not self._in_body:
+            self._head_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError as exc:
+            self._fail(f'malformed: {exc}')
+        if not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
+            self._fail('head is larger than the limit')
+
+    def end_with_connection(self, error: Exception | None) -> None:
+        """End the exchange because the connection has been closed."""
+        # An answer that ends with the connection is complete if the server closed it.
+        is_end = self._ends_at_close and self._in_body and not self._is_stray
+        if is_end and error is None and not self._conn.closed_locally:
+            self._complete()
+        else:
+            self._fail(self._describe_close(error))
+
+    def on_status(self, reason: bytes) -> None:
+        """Store the reason phrase; called by the parser, as the methods below."""
+        self._reason += reason.decode('latin1')
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Store a header; those behind a body in chunks are ignored."""
+        if not self._in_body and not self._ended.done():
+            self._headers.add(name.decode('latin1'), text.decode('latin1'))
+
+    def on_headers_complete(self) -> None:
         """Handle the status line and headers of an answer."""
-        line = typing.cast(httputil.ResponseStartLine, start_line)
-        if 100 <= line.code < 200:
+        status = self._parser.get_status_code()
+        if self._ended.done() or 100 <= status < 200:
             return
+        headers = self._headers
+        self._in_body = True
         self._is_stray = not self._is_own_answer(headers)
-        if self._is_stray:
-            return
         self._ends_at_close = (
-            line.code not in _NO_BODY
+            status not in _NO_BODY
+            and not self._is_head_request
             and 'Content-Length' not in headers
             and 'Transfer-Encoding' not in headers
         )
+        if self._is_stray:
+            return
         self._update_keep_alive(headers)
-        self._on_head(Head(line.code, line.reason, headers))
+        self._on_head(Head(status, self._reason or 'Status', headers))
+        if self._is_head_request:
+            self._complete()
 
-    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+    def on_body(self, chunk: bytes) -> None:
         """Handle a part of the body."""
-        if self._is_stray:
-            return None
+        if self._is_stray or self._ended.done():
+            return
+        self._body_bytes += len(chunk)
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._fail('body is larger than the limit')
+            return
         try:
-            return self._on_body(chunk)
+            written = self._on_body(chunk)
         except InvalidAnswer as exc:
-            self.failure = str(exc)
-            raise
+            self._fail(str(exc))
+            return
+        if written is not None:
+            self._wait_for(asyncio.ensure_future(written))
+
+    def on_message_complete(self) -> None:
+        """Handle the end of an answer, which may be one to an earlier request."""
+        if self._ended.done():
+            return
+        if self._in_body and not self._is_stray:
+            self._complete()
+            return
+        if self._is_stray:
+            self._stray_count += 1
+            if self._stray_count > MAX_STRAY_ANSWERS:
+                self._fail('received only answers to other calls')
+        self._headers = httputil.HTTPHeaders()
+        self._reason = ''
+        self._in_body = False
+        self._is_stray = False
+        self._head_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Notice data behind a complete answer, which belongs to no request."""
+        if self._ended.done():
+            self._conn.keep_alive = False
+
+    def _wait_for(self, written: 'asyncio.Future[None]') -> None:
+        """Receive nothing until a part of the body has been written."""
+        if written.done():
+            return
+        self._conn.pause_reading()
+        written.add_done_callback(lambda _: self._conn.resume_reading())
 
-    def finish(self) -> None:
-        """Mark the answer as complete."""
-        self._is_complete = not self._is_stray
+    def _complete(self) -> None:
+        self._is_complete = True
+        self._ended.set_result(None)
 
-    def on_connection_close(self) -> None:
-        """Do nothing: an answer that is not finished counts as incomplete."""
+    def _fail(self, failure: str) -> None:
+        """End the exchange without a complete answer, unless it has ended."""
+        self._conn.keep_alive = False
+        if not self._ended.done():
+            self.failure = failure
+            self._ended.set_result(None)
 
-    def _describe_failure(self) -> str:
+    def _describe_close(self, error: Exception | None) -> str:
         if self._conn.closed_locally:
             return 'closed by this side'
-        if self._is_stray:
+        if self._stray_count or self._is_stray:
             return 'received only answers to other calls'
-        error = self._conn.stream.error
         return 'closed by the server before the end' if error is None else str(error)
 
-    async def _read_one(self) -> bool:
-        """Read one answer, and return whether it was read to its end."""
-        self._is_stray = False
-        try:
-            read = await self._http.read_response(self)
-        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
-            return False
-        if not read:
-            self.failure = self.failure or 'malformed or larger than the limit'
-        return read
-
-    @property
-    def _was_reset(self) -> bool:
-        return self._conn.stream.error is not None
-
     def _update_keep_alive(self, headers: httputil.HTTPHeaders) -> None:
         if headers.get('Connection', '').lower() == 'close' or self._ends_at_close:
             self._conn.keep_alive = False
@@ -260,21 +335,23 @@
 
     Raises `Unreachable` if it cannot be opened in time.
     """
+    loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    enable_keepalive(sock)
-    stream = Stream(sock)
+    sock.setblocking(False)
     try:
-        await asyncio.wait_for(
-            stream.connect(addresses.split_address(address)), timeout_s
+        enable_keepalive(sock)
+        target = addresses.split_address(address)
+        await asyncio.wait_for(loop.sock_connect(sock, target), timeout_s)
+        _, conn = await loop.create_connection(
+            lambda: Connection(address, sock), sock=sock
         )
     except _UNREACHABLE as exc:
-        stream.close()
+        sock.close()
         raise Unreachable(f'{address}: {exc!r}') from None
     except asyncio.CancelledError:
-        stream.close()
+        sock.close()
         raise
-    stream.set_nodelay(True)
-    return Connection(address, stream)
+    return conn
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -290,15 +367,6 @@
         sock.setsockopt(level, option, setting)
 
 
-def _make_http_connection(stream: Stream) -> http1connection.HTTP1Connection:
-    params = http1connection.HTTP1ConnectionParameters(
-        chunk_size=16384,
-        max_header_size=MAX_HEAD_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-    )
-    return http1connection.HTTP1Connection(stream, True, params)
-
-
 def _is_idle_and_open(sock: socket.socket) -> bool:
     """Tell whether a socket is open and has no received bytes waiting."""
     try:
