Retry budget: held when entries start or lose touch

Cause: an entry divides what all may spend by the entries that it knows at the moment. One that has just started, or is cut off, knows itself alone and takes all of it: 17 entries that lose touch could spend 17 times 100 retries in a window.

Change: the largest number of entries known in the window counts, and at least 16 in the first window of a process.

--- a/src/primrosesaddle/calls/budget.py
+++ b/src/primrosesaddle/calls/budget.py
@@ -1,4 +1,9 @@
-"""The retry budget: retries are limited to a share of first sends in a time window."""
+"""The retry budget: retries are limited to a share of first sends in a time window.
+
+Each entry may spend the share of its own first sends, and an equal part of what all
+entries may spend beside it. As it goes by the largest number of entries that it knew in
+the window, entries that lose touch with each other do not take more.
+"""
 
 import collections
 from collections.abc import Callable
@@ -6,6 +11,9 @@
 __all__ = ('RetryBudget',)
 
 SLICES = 10  # the window consists of this many slices, which expire one by one
+# Assumed as the least number of entries within one window of the start, when a process
+# may not know the others yet, and an earlier one in its place may have spent its part.
+STARTING_ENTRIES = 16
 
 
 class _Window:
@@ -53,6 +61,8 @@
         self._entries = entries
         self._clock = clock
         self._windows: dict[str, _Window] = {}
+        self._started_at = clock()
+        self._entry_counts: collections.deque[tuple[float, int]] = collections.deque()
 
     def record_first_send(self, service: str) -> None:
         """Count the first send of a call."""
@@ -72,10 +82,26 @@
         # One slice more than the window, as the oldest slice has only partly expired.
         since = now - self._window_s * (1 + 1 / SLICES)
         first_sends, retries = window.sum_since(since)
-        allowed = self._ratio * first_sends + self._extra / max(1, self._entries())
+        allowed = self._ratio * first_sends + self._extra / self._count_entries(now)
         return retries + 1 <= allowed
 
     def _add(self, service: str, first_sends: int, retries: int) -> None:
         window = self._windows.setdefault(service, _Window())
-        width_s = self._window_s / SLICES
-        window.add_sends(self._clock(), width_s, first_sends, retries)
+        now = self._clock()
+        window.add_sends(now, self._slice_s, first_sends, retries)
+        if not self._entry_counts or now - self._entry_counts[-1][0] >= self._slice_s:
+            self._count_entries(now)
+
+    @property
+    def _slice_s(self) -> float:
+        return self._window_s / SLICES
+
+    def _count_entries(self, now: float) -> int:
+        """Return the largest number of entries known in the window."""
+        counts = self._entry_counts
+        counts.append((now, max(1, self._entries())))
+        while now - counts[0][0] > self._window_s + self._slice_s:
+            counts.popleft()
+        is_new = now - self._started_at < self._window_s
+        known = max(count for _, count in counts)
+        return max(known, STARTING_ENTRIES) if is_new else known
