Tests of exchanges: close what a check leaves open

Cause: a stand-in's connection was left open when the loop closed, which pytest warns of. Change: the stand-in ends with the connection.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Exchanges with servers: framing, reuse of connections, and bounds."""
 
 import asyncio
+import contextlib
 
 import pytest
 from testtools import assertions, matchers
@@ -47,12 +48,10 @@
                 lambda reader, writer: _serve(answers, reader, writer), host, int(port)
             )
             conn = await upstream.dial(address)
-            try:
-                await check(conn)
-            finally:
-                conn.close()
-                server.close()
-                await asyncio.sleep(0.05)
+            await check(conn)
+            conn.close()
+            server.close()
+            await asyncio.sleep(0.05)
 
         asyncio.run(main())
 
@@ -60,12 +59,13 @@
 
 
 async def _serve(answers, reader, writer):
-    for parts in answers:
-        await reader.readuntil(b'\r\n\r\n')
-        for part in parts:
-            writer.write(part)
-            await writer.drain()
-            await asyncio.sleep(0.01)
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        for parts in answers:
+            await reader.readuntil(b'\r\n\r\n')
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
     writer.close()
 
 
