--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -135,3 +135,19 @@
         asyncio.run(main())
 
     return run
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    """Return a clock that stands still until a test moves it."""
+    return Clock()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -25,22 +25,6 @@
     return stand.answer(503, b'', sealed=False, not_run=True, extra=extra)
 
 
-class Clock:
-    """A clock that tests set."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    """Return a clock that stands still until a test moves it."""
-    return Clock()
-
-
 @pytest.fixture
 def known(clock):
     """Return an empty collection of backends."""
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -9,22 +9,6 @@
 from primrosesaddle.platform import records
 
 
-class Clock:
-    """A clock that tests set."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    """Return a clock that stands still until a test moves it."""
-    return Clock()
-
-
 @pytest.fixture
 def view(clock):
     """Return an empty view."""
