--- a/tests/test_messagesocket.py
+++ b/tests/test_messagesocket.py
@@ -31,7 +31,7 @@
             router = messagesocket.MessageSocket(hub, at_hub.append)
             dealer = messagesocket.MessageSocket(spoke, at_spoke.append)
             dealer.send([b'hello'])
-            await _until(lambda: at_hub)
+            await _until(at_hub.__len__)
             identity = at_hub.pop()[0]
             await check(
                 at_hub,
@@ -90,9 +90,9 @@
     async def check(at_hub, at_spoke, to_spoke, to_hub):
         for number in range(COUNT // 4):
             to_hub(b'%d' % number)
-            await _until(lambda: at_hub)
+            await _until(at_hub.__len__)
             to_spoke(at_hub.pop()[1])
-            await _until(lambda: at_spoke)
+            await _until(at_spoke.__len__)
             assertions.assert_that(at_spoke.pop(), matchers.Equals([b'%d' % number]))
 
     run_pair(check)
