Exchange: a rejected answer stays broken when the connection closes at once

An answer without a length that is rejected, as too large, and whose connection closes before the exchange is evaluated was set complete as well; the body of an answer to HEAD left its connection in use. Change: what has ended is not ended again; surplus data ends the use of a connection. Result: two tests, both fail before (InvalidStateError; connection reusable).

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -220,7 +220,9 @@
             self._fail('head is larger than the limit')
 
     def end_with_connection(self, error: Exception | None) -> None:
-        """End the exchange because the connection has been closed."""
+        """End the exchange, unless it has ended, because the connection was closed."""
+        if self._ended.done():
+            return
         # An answer that ends with the connection is complete if the server closed it.
         is_end = self._ends_at_close and self._in_body and not self._is_stray
         if is_end and error is None and not self._conn.closed_locally:
@@ -259,8 +261,11 @@
             self._complete()
 
     def on_body(self, chunk: bytes) -> None:
-        """Handle a part of the body."""
-        if self._is_stray or self._ended.done():
+        """Handle a part of the body; one behind an answer without a body is surplus."""
+        if self._ended.done():
+            self._conn.keep_alive = False
+            return
+        if self._is_stray:
             return
         self._body_bytes += len(chunk)
         if self._body_bytes > MAX_BODY_BYTES:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,7 +1,6 @@
 """Exchanges with servers: framing, reuse of connections, and bounds."""
 
 import asyncio
-import contextlib
 
 import pytest
 from testtools import assertions, matchers
@@ -59,14 +58,17 @@
 
 
 async def _serve(answers, reader, writer):
-    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+    try:
         for parts in answers:
             await reader.readuntil(b'\r\n\r\n')
             for part in parts:
                 writer.write(part)
                 await writer.drain()
                 await asyncio.sleep(0.01)
-    writer.close()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        pass  # the client has closed the connection
+    finally:
+        writer.close()
 
 
 async def _ask(conn, method='GET', is_own=lambda headers: True):
@@ -224,6 +226,33 @@
     with_server(check, [answer], [])
 
 
+def test_rejected_answer_does_not_become_complete_by_a_close(with_server):
+    """Both may happen in one turn of the loop, before the exchange is evaluated."""
+
+    async def check(conn):
+        def on_body(chunk):
+            raise upstream.InvalidAnswer('too large')
+
+        exchange = upstream.Exchange(conn, lambda head: None, on_body, lambda _: True)
+        exchange.send_request('GET', '/x', [('Host', 'h')], b'')
+        exchange.receive(HEAD + b'\r\npart')
+        exchange.end_with_connection(None)
+        ending = await exchange.read_answer()
+        _assert_equal((ending.name, exchange.failure), ('BROKEN', 'too large'))
+
+    with_server(check, [])
+
+
+def test_body_of_an_answer_to_head_ends_the_connection(with_server):
+    """A faulty server sends one, which must not come before the next answer."""
+
+    async def check(conn):
+        _, ending, _ = await _ask(conn, 'HEAD')
+        _assert_equal((ending.name, conn.is_reusable), ('COMPLETE', False))
+
+    with_server(check, [ONE], [])
+
+
 @pytest.mark.parametrize('address', ['127.0.0.1:70000', '127.0.0.1:1'])
 def test_address_without_a_server_is_unreachable(address):
     """An entry goes on with another server then."""
