Links between processes: closing one cannot stop its process

The reader of a socket's events was closed before the socket's monitor was switched off, and the last event then waits for a reader for ever. Change: the monitor is switched off first.

--- a/src/primrosesaddle/membership/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -272,8 +272,9 @@
     def close(self) -> None:
         """Close the socket at once; unsent messages are dropped."""
         self.channel.close()
-        self._monitor.close()
+        # The monitor's last event waits for a reader, for ever if there is none.
         self._sock.disable_monitor()
+        self._monitor.close()
         self._messages.close()
 
     def _receive(self, message: list[bytes]) -> None:
--- a/tests/test_messagesocket.py
+++ b/tests/test_messagesocket.py
@@ -1,6 +1,9 @@
 """Sockets between processes: no message may stay unread while the socket is silent."""
 
 import asyncio
+import pathlib
+import subprocess
+import sys
 
 import pytest
 import zmq
@@ -122,3 +125,40 @@
         spoke.close(linger=0)
 
     asyncio.run(main())
+
+
+CLOSE_LINKS = """
+import asyncio
+import pathlib
+import subprocess
+import sys
+from demo import ports
+from primrosesaddle.membership import link, wire
+
+async def main():
+    hooks = link.Hooks(lambda *message: None, lambda *revision: None, int)
+    hello = wire.Hello(wire.Card('a', 'entry', '1', '', 'r', 'd'), False)
+    for number in range(300):
+        address = ports.free_address()
+        router = link.bind_router(address, hooks, None)
+        dealers = [link.dial(address, hooks, hello, None) for _ in range(4)]
+        await asyncio.sleep(0.003 * (number % 4))
+        if number % 2:
+            router.close()
+        for dealer in dealers:
+            dealer.close()
+        router.close()
+
+asyncio.run(main())
+"""
+
+
+def test_links_close_while_their_peers_disconnect():
+    """The event of a disconnect must not wait for a reader that is gone.
+
+    The whole process would stand still then, so that this runs in one of its own.
+    """
+    root = pathlib.Path(__file__).parent.parent
+    subprocess.run(
+        [sys.executable, '-c', CLOSE_LINKS], cwd=root, timeout=60, check=True
+    )
