--- a/tests/test_messagesocket.py
+++ b/tests/test_messagesocket.py
@@ -129,9 +129,6 @@
 
 CLOSE_LINKS = """
 import asyncio
-import pathlib
-import subprocess
-import sys
 from demo import ports
 from primrosesaddle.membership import link, wire
 
