Tests of servers that fall silent and go on, listed as red

Callers saw their streams cut off, or their calls refused, while their server was only silent for a while.

--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,126 @@
+"""Servers that fall silent for a while and go on, played against an entry."""
+
+import asyncio
+
+import pytest
+from testtools import assertions, matchers
+
+import platformstand as stand
+
+REFUSE = stand.answer(503, b'', sealed=False, not_run=True)
+EVENTS = b''.join(stand.event(number) for number in range(1, 7))
+
+
+def _assert_equal(actual, expected):
+    assertions.assert_that(actual, matchers.Equals(expected))
+
+
+def _silent_first(servers, first, other):
+    """Let the server that is called first run one script, and the others another."""
+
+    async def script(seen):
+        is_first = sum(len(server.seen) for server in servers) == 1
+        await (first if is_first else other)(seen)
+
+    for server in servers:
+        server.script = script
+
+
+def _pausing_stream(pause_s, before=3):
+    """Return the script of a stream that is silent for a while after some events."""
+
+    async def run(seen):
+        await stand.stream(before, is_ended=False)(seen)
+        await asyncio.sleep(pause_s)
+        for number in range(before + 1, 7):
+            part = stand.event(number)
+            seen.writer.write(f'{len(part):x}\r\n'.encode() + part + b'\r\n')
+            await seen.writer.drain()
+        seen.writer.write(b'0\r\n\r\n')
+        await seen.writer.drain()
+
+    return run
+
+
+def _count_calls(fleet):
+    """Return the number of calls that the entry has at its servers."""
+    known = fleet.entry.backends.list_servers('engines')
+    return sum(len(backend.calls) for backend in known)
+
+
+async def _answer_late(seen):
+    await asyncio.sleep(2.2)
+    await stand.send(seen, 200, b'late')
+
+
+@pytest.mark.parametrize('other', [REFUSE, stand.close], ids=['refuses', 'closes'])
+@pytest.mark.parametrize('pause_s', [1.3, 1.7])
+def test_silent_stream_is_kept_if_the_other_server_fails(in_fleet, pause_s, other):
+    """The first server goes on after its pause, and its stream is complete."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _pausing_stream(pause_s), other)
+
+    async def check(fleet):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.body, reply.whole), (EVENTS, True))
+
+    in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize('other', [REFUSE, stand.close], ids=['refuses', 'closes'])
+def test_stream_with_a_late_first_event_is_kept_if_the_other_server_fails(
+    in_fleet, other
+):
+    """No event has been sent yet, so that the call would be refused as a whole."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _pausing_stream(2.2, before=0), other)
+
+    async def check(fleet):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.status, reply.body, reply.whole), (200, EVENTS, True))
+
+    in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize('other', [REFUSE, stand.close], ids=['refuses', 'closes'])
+def test_late_answer_is_kept_if_the_other_server_fails(in_fleet, other):
+    """An idempotent call is tried elsewhere after 1.6 s, and answered after 2.2 s."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _answer_late, other)
+
+    async def check(fleet):
+        reply = await fleet.call('/read/1')
+        _assert_equal((reply.status, reply.body), (200, b'late'))
+
+    in_fleet(check, *servers)
+
+
+def test_silent_stream_that_goes_on_ends_the_attempt_at_the_other_server(in_fleet):
+    """The other server's attempt has sent nothing yet when the first one goes on."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _pausing_stream(1.5), stand.hang)
+
+    async def check(fleet):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.body, reply.whole), (EVENTS, True))
+        _assert_equal([len(server.seen) for server in servers], [1, 1])
+        await fleet.until(lambda: not _count_calls(fleet))
+
+    in_fleet(check, *servers)
+
+
+def test_stream_has_no_event_twice_if_both_servers_continue_it(in_fleet):
+    """Both send the rest at about the same time, and one of them is chosen."""
+    servers = [stand.Server('a'), stand.Server('b')]
+
+    async def slow_rest(seen):
+        await asyncio.sleep(0.15)
+        await stand.stream(6)(seen)
+
+    _silent_first(servers, _pausing_stream(1.3), slow_rest)
+
+    async def check(fleet):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.body, reply.whole), (EVENTS, True))
+
+    in_fleet(check, *servers)
