Silent attempts: kept while another server is tried

Callers saw streams cut off in the middle, or calls refused with 502, though the server was sound: it was silent for a second or so and went on.

Cause: the watcher closed the connection of a silent attempt as soon as another server could have taken the call, before one had. If that server refused, closed or had no slot, nothing was left to answer from. Class: giving up a working resource on the prospect of another one.

A silent attempt now goes on, and a further one is made beside it (calls/race.py). The first to continue the answer wins and ends the other, so that no event is doubled; if the further one fails, the first still counts. Attempts, time and the retry budget bound it as before.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -5,7 +5,7 @@
 import typing
 from collections.abc import Awaitable, Callable
 
-from primrosesaddle.calls import placement, request
+from primrosesaddle.calls import events, placement, request
 from primrosesaddle.core import verdict
 from primrosesaddle.net import memory, upstream
 from primrosesaddle.telemetry import journal
@@ -99,7 +99,8 @@
 
     `last_progress_at` is the time of the last progress: the head of the answer, or a
     part of a signed body that has a Content-Length. Parts of other bodies do not
-    count, as such a body may never end.
+    count, as such a body may never end. `silent` is whether the lack of progress has
+    been reported to `on_silence`, the last time at `silence_reported_at`.
     """
 
     def __init__(
@@ -111,8 +112,8 @@
     ) -> None:
         """Create an attempt of a call at a chosen server.
 
-        The buffered part of the answer is reserved in `memory_budget`. Whoever makes
-        the attempt has to release its `reservation`.
+        The buffered parts of the answer are reserved in `memory_budget`, until
+        `release_memory` is called.
         """
         self._wire = wire
         self.call = call
@@ -121,7 +122,9 @@
         self.started_at = self._clock()
         self.last_progress_at = self.started_at
         self.head: AnswerHead | None = None
-        self.stalled = False
+        self.silent = False
+        self.silence_reported_at = 0.0
+        self.on_silence: Callable[[], None] | None = None
         self.outdated = False
         self.has_body_begun = False
         self.broken_reason = ''
@@ -130,12 +133,18 @@
         self.body: list[bytes] = []
         self.size = 0
         memory_budget = memory_budget or memory.MemoryBudget(MAX_TOTAL_BUFFERED_BYTES)
-        self.reservation = memory.Reservation(memory_budget, MAX_BUFFERED_BYTES)
+        self._reservation = memory.Reservation(memory_budget, MAX_BUFFERED_BYTES)
+        self.splitter = events.EventSplitter(call.resume_from, memory_budget)
         self._has_known_length = False
 
+    def record_progress(self) -> None:
+        """Record that the server continues its answer."""
+        self.last_progress_at = self._clock()
+        self.silent = False
+
     def on_head(self, head: upstream.Head) -> None:
         """Store the head of the answer, and the load that it states."""
-        self.last_progress_at = self._clock()
+        self.record_progress()
         self.head = self._wire.read_head(head)
         self._has_known_length = self.head.signed and 'Content-Length' in head.headers
         if self.head.load is not None:
@@ -145,32 +154,42 @@
         """Buffer a part of an answer that is forwarded once it is complete."""
         self.has_body_begun = True
         if self._has_known_length:
-            self.last_progress_at = self._clock()
+            self.record_progress()
         self.size += len(chunk)
-        self.reservation.resize(self.size)
+        self._reservation.resize(self.size)
         self.body.append(chunk)
 
-    def abort_stalled(self, reason: str) -> None:
-        """Close the connection because the server makes no progress."""
-        self.stalled = True
-        self._close_connection('stalled', reason)
+    def release_memory(self) -> None:
+        """Discard an incomplete event, and release what is reserved."""
+        self.splitter.reset()
+        self._reservation.release()
+
+    def report_silence(self, limit_s: float) -> None:
+        """Report that the server has made no progress for longer than a limit.
+
+        The attempt goes on, as a sound server may be silent for a while.
+        """
+        self.silent = True
+        self.silence_reported_at = self._clock()
+        journal.info(
+            'attempt.silent',
+            id=self.call.call_id,
+            server=self.choice.backend.server_id,
+            limit_s=round(limit_s, 2),
+            silent_s=round(self._clock() - self.last_progress_at, 2),
+        )
+        if self.on_silence is not None:
+            self.on_silence()
 
     def abort_outdated(self, required_version: int) -> None:
         """Close the connection because the server's version is too old for the call."""
         self.outdated = True
-        version = self.choice.version
-        self._close_connection(
-            'outdated', f'version={version} required={required_version}'
-        )
-
-    def _close_connection(self, outcome: str, reason: str) -> None:
-        """Log why an attempt is given up, and close its connection."""
         journal.info(
-            f'attempt.{outcome}',
+            'attempt.outdated',
             id=self.call.call_id,
             server=self.choice.backend.server_id,
-            why=reason,
-            silent_s=round(self._clock() - self.last_progress_at, 2),
+            version=self.choice.version,
+            required=required_version,
         )
         if self.conn is not None:
             self.conn.close()
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -11,7 +11,7 @@
     attempts,
     backends,
     budget,
-    events,
+    race,
     refusals,
     request,
     routes,
@@ -73,10 +73,9 @@
         Cancelling this closes the connection to the server, as when the caller leaves.
         """
         self.in_flight += 1
-        splitter = events.EventSplitter(call.resume_from, self._memory_budget)
         try:
             async with asyncio.timeout_at(call.deadline_at):
-                await self._forward(call, sink, splitter)
+                await self._forward(call, sink)
         except verdict.Refusal as exc:
             self._send_failure(call, sink, exc)
         except TimeoutError:
@@ -85,18 +84,13 @@
             self._log_call(call, 'left', status=0)
             raise
         finally:
-            splitter.reset()
             self.in_flight -= 1
 
-    async def _forward(
-        self,
-        call: request.Call,
-        sink: attempts.AnswerSink,
-        splitter: events.EventSplitter,
-    ) -> None:
+    async def _forward(self, call: request.Call, sink: attempts.AnswerSink) -> None:
         """Make attempts until one gives the final answer.
 
-        Raises `verdict.Refusal` when no further attempt is allowed.
+        While an attempt is silent, another one is made beside it. Raises
+        `verdict.Refusal` when no further attempt is allowed.
         """
         service = targets.select_service(
             call.route,
@@ -104,32 +98,59 @@
             self._deps.backends,
             self._deps.rand,
         )
-        while True:
-            call.required_version = self._get_required_version(call)
-            choice = await self._deps.admission.acquire_slot(call, service)
-            call.placement_summary = choice.describe(self._clock())
-            call.version = choice.version
-            attempt = attempts.Attempt(
-                self._deps.wire, call, choice, self._memory_budget
-            )
-            try:
-                is_done = await self._make_attempt(
-                    attempt, call, sink, splitter, service
-                )
-            finally:
-                attempt.reservation.release()
-                self._deps.admission.release(call, choice)
-            if is_done:
-                return
-            self._check_retry_allowed(call, service)
+        contest = race.Race()
+        contest.start(self._run_attempt(call, sink, service, contest))
+        try:
+            while not await contest.wait():
+                if contest.is_running:
+                    is_wanted = self._may_hedge(call, service, contest)
+                else:
+                    self._check_retry_allowed(call, service, contest.refusal)
+                    is_wanted = True
+                if is_wanted:
+                    contest.start(self._run_attempt(call, sink, service, contest))
+        finally:
+            await contest.cancel()
+
+    def _may_hedge(
+        self, call: request.Call, service: routes.Service, contest: race.Race
+    ) -> bool:
+        """Return whether an attempt is made beside those that are all silent."""
+        return (
+            contest.is_silent
+            and call.can_send_again(self._clock())
+            and self._deps.retry_budget.claim_retry(service.name)
+        )
+
+    async def _run_attempt(
+        self,
+        call: request.Call,
+        sink: attempts.AnswerSink,
+        service: routes.Service,
+        contest: race.Race,
+    ) -> bool:
+        """Wait for a server, make an attempt there, and return whether it answered.
+
+        Raises `verdict.Refusal` when no server can take the call in time.
+        """
+        call.required_version = self._get_required_version(call)
+        choice = await self._deps.admission.acquire_slot(call, service)
+        call.placement_summary = choice.describe(self._clock())
+        call.version = choice.version
+        attempt = attempts.Attempt(self._deps.wire, call, choice, self._memory_budget)
+        contest.enter(attempt)
+        try:
+            return await self._make_attempt(attempt, call, sink, contest)
+        finally:
+            attempt.release_memory()
+            self._deps.admission.release(call, choice)
 
     async def _make_attempt(
         self,
         attempt: attempts.Attempt,
         call: request.Call,
         sink: attempts.AnswerSink,
-        splitter: events.EventSplitter,
-        service: routes.Service,
+        contest: race.Race,
     ) -> bool:
         """Make an attempt, and return whether the call has its final answer."""
         backend = attempt.choice.backend
@@ -149,15 +170,19 @@
             return False
         attempt.conn = conn
         attempt.sent = True
+        service_name = backend.record.service
         if call.tried:
             journal.info('call.repeated', id=call.call_id, server=backend.server_id)
         else:
-            self._deps.retry_budget.record_first_send(service.name)
+            self._deps.retry_budget.record_first_send(service_name)
         call.tried.append(backend.server_id)
-        on_head = self._make_head_hook(attempt, service)
+        on_head = self._make_head_hook(attempt, service_name)
         hooks: attempts.ResponseHooks = (on_head, attempt.on_body)
         if call.route.kind is routes.RouteKind.STREAM:
-            hooks = on_head, self._make_stream_hook(attempt, call, sink, splitter)
+            hooks = (
+                on_head,
+                self._make_stream_hook(attempt, call, sink, contest),
+            )
         exchange = upstream.Exchange(
             conn,
             *hooks,
@@ -170,19 +195,22 @@
             exchange.send_request(
                 call.method,
                 call.target,
-                self._build_headers(attempt, call, splitter),
+                self._build_headers(attempt, call),
                 call.body,
             )
             ending = await exchange.read_answer()
             attempt.broken_reason = exchange.failure
         except asyncio.CancelledError:
             conn.close()
+            if attempt.silent:
+                backend.record_outcome(failed=True)
+                self._log_attempt(attempt, call, 'overtaken')
             raise
         finally:
             self.watcher.discard(attempt)
         if ending is upstream.Ending.COMPLETE:
             self._release_connection(backend, conn)
-        return self._finish_attempt(attempt, call, sink, splitter, ending)
+        return self._finish_attempt(attempt, call, sink, contest, ending)
 
     def _can_go_elsewhere(self, attempt: attempts.Attempt) -> bool:
         """Return whether a server that was not tried, and the budget, allow a retry."""
@@ -228,7 +256,6 @@
         self,
         attempt: attempts.Attempt,
         call: request.Call,
-        splitter: events.EventSplitter,
     ) -> list[tuple[str, str]]:
         """Return the headers of an attempt.
 
@@ -241,7 +268,7 @@
             call,
             attempt.choice,
             call.deadline_at - self._clock(),
-            splitter.last_id,
+            attempt.splitter.last_id,
             call.version if must_match else 0,
         )
 
@@ -250,7 +277,7 @@
         return self._deps.min_version_to_send(call.model) if call.model else 0
 
     def _make_head_hook(
-        self, attempt: attempts.Attempt, service: routes.Service
+        self, attempt: attempts.Attempt, service_name: str
     ) -> Callable[[upstream.Head], None]:
         """Return a hook that reads the head of an answer, and the server's notices."""
         backend = attempt.choice.backend
@@ -261,9 +288,9 @@
             if head.leaving:
                 self._deps.backends.mark_leaving(backend, 'answer')
             if head.quiet_s:
-                self._deps.metrics.count('quiet_requests', service=service.name)
+                self._deps.metrics.count('quiet_requests', service=service_name)
                 self._deps.backends.request_quiet(backend, head.quiet_s)
-                self._deps.admission.refuse_hopeless(service.name)
+                self._deps.admission.refuse_hopeless(service_name)
 
         return on_head
 
@@ -272,13 +299,12 @@
         attempt: attempts.Attempt,
         call: request.Call,
         sink: attempts.AnswerSink,
-        splitter: events.EventSplitter,
+        contest: race.Race,
     ) -> Callable[[bytes], Awaitable[None] | None]:
         """Return a hook that forwards the complete events of a stream as they arrive.
 
         The body of an unsigned answer or of an error is buffered instead.
         """
-        splitter.reset()
 
         def on_body(chunk: bytes) -> Awaitable[None] | None:
             head = attempt.head
@@ -286,11 +312,13 @@
                 attempt.on_body(chunk)
                 return None
             attempt.has_body_begun = True
-            complete = splitter.feed(chunk)
-            if not complete:
+            complete = attempt.splitter.feed(chunk)
+            if not complete or not contest.claim(attempt):
                 return None
-            attempt.last_progress_at = self._clock()
+            attempt.record_progress()
             attempt.choice.backend.mark_prompt_read(call)
+            call.resume_from = attempt.splitter.last_id
+            call.version = attempt.choice.version
             self._start_stream(attempt, call, sink)
             return sink.write(complete)
 
@@ -315,7 +343,7 @@
         attempt: attempts.Attempt,
         call: request.Call,
         sink: attempts.AnswerSink,
-        splitter: events.EventSplitter,
+        contest: race.Race,
         ending: upstream.Ending,
     ) -> bool:
         """Evaluate the end of an attempt; return whether the call is answered."""
@@ -343,11 +371,20 @@
         call.record_verdict(verdict.Verdict.RAN)
         failed = head.status >= 500
         backend.record_outcome(failed=failed)
-        if failed and call.route.repeatable and call.can_send_again(self._clock()):
+        if failed and self._may_go_on(attempt, contest):
             self._log_attempt(attempt, call, 'failed')
             return False
-        self._send_answer(attempt, call, sink, splitter)
-        return True
+        if contest.claim(attempt):
+            self._send_answer(attempt, call, sink)
+            return True
+        return False
+
+    def _may_go_on(self, attempt: attempts.Attempt, contest: race.Race) -> bool:
+        """Return whether the call may be answered by another attempt."""
+        call = attempt.call
+        return call.route.repeatable and (
+            call.can_send_again(self._clock()) or contest.has_others(attempt)
+        )
 
     def _record_broken_answer(self, attempt: attempts.Attempt) -> None:
         """Count an incomplete answer as a failure of its server.
@@ -356,7 +393,7 @@
         """
         backend = attempt.choice.backend
         backend.record_outcome(failed=True)
-        if not attempt.stalled and attempt.head is None:
+        if attempt.head is None:
             backend.mark_suspect(self._clock(), 'closed without an answer')
 
     def _send_answer(
@@ -364,18 +401,17 @@
         attempt: attempts.Attempt,
         call: request.Call,
         sink: attempts.AnswerSink,
-        splitter: events.EventSplitter,
     ) -> None:
         """Send the rest of the answer to the caller, and end it."""
         head = typing.cast(attempts.AnswerHead, attempt.head)
         if call.answer_started:
-            remainder = splitter.take_remainder()
+            remainder = attempt.splitter.take_remainder()
             if remainder:
                 sink.write(remainder)
         else:
             body = b''.join(attempt.body)
             if call.route.kind is routes.RouteKind.STREAM:
-                body += splitter.take_remainder()
+                body += attempt.splitter.take_remainder()
             sink.start(head, len(body))
             if body:
                 sink.write(body)
@@ -384,8 +420,18 @@
             call, 'answered', head.status, server=attempt.choice.backend.server_id
         )
 
-    def _check_retry_allowed(self, call: request.Call, service: routes.Service) -> None:
-        """Raise the final refusal unless another attempt is allowed."""
+    def _check_retry_allowed(
+        self,
+        call: request.Call,
+        service: routes.Service,
+        refusal: verdict.Refusal | None,
+    ) -> None:
+        """Raise the final refusal unless another attempt is allowed.
+
+        `refusal` is why the last attempt got no server, None if it got one.
+        """
+        if refusal is not None:
+            raise refusal
         not_run = call.worst_verdict is verdict.Verdict.NOT_RUN
         if not (not_run or call.route.repeatable):
             raise refusals.refuse_unanswered_call('no_answer')
@@ -424,7 +470,7 @@
             server=attempt.choice.backend.server_id,
             status=head.status if head else 0,
             after_s=round(self._clock() - attempt.started_at, 3),
-            stalled=attempt.stalled,
+            silent=attempt.silent,
             why=attempt.broken_reason,
         )
 
--- /dev/null
+++ b/src/primrosesaddle/calls/race.py
@@ -0,0 +1,107 @@
+"""Race: the attempts of one call that are under way at the same time.
+
+A further attempt is made beside one whose server has fallen silent, as that server may
+still go on. The first attempt that continues the answer wins, and ends the others.
+"""
+
+import asyncio
+import typing
+from collections.abc import Coroutine
+
+from primrosesaddle.calls import attempts
+from primrosesaddle.core import verdict
+
+__all__ = ('Race',)
+
+Run = Coroutine[object, object, bool]
+
+
+class Race:
+    """The running attempts of a call.
+
+    `refusal` is why the attempt that ended last got no server, None if it got one.
+    """
+
+    def __init__(self) -> None:
+        """Create a race without attempts, on the running event loop."""
+        self._attempts: dict[asyncio.Task[bool], attempts.Attempt | None] = {}
+        self._winner: attempts.Attempt | None = None
+        self._loop = asyncio.get_running_loop()
+        self._silence: 'asyncio.Future[None]' = self._loop.create_future()
+        self.refusal: verdict.Refusal | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether an attempt is under way, or waits for a server."""
+        return bool(self._attempts)
+
+    def has_others(self, attempt: attempts.Attempt) -> bool:
+        """Return whether attempts besides this one are running."""
+        return any(other is not attempt for other in self._attempts.values())
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether all attempts have a server, and all of these are silent."""
+        return all(
+            attempt is not None and attempt.silent
+            for attempt in self._attempts.values()
+        )
+
+    def start(self, run: Run) -> None:
+        """Start one more attempt; `run` returns whether the call is answered."""
+        self._winner = None
+        self._attempts[self._loop.create_task(run)] = None
+
+    def enter(self, attempt: attempts.Attempt) -> None:
+        """Add the attempt of the running task, which has been given a server."""
+        task = typing.cast('asyncio.Task[bool]', asyncio.current_task())
+        self._attempts[task] = attempt
+        attempt.on_silence = self._record_silence
+
+    def claim(self, attempt: attempts.Attempt) -> bool:
+        """Return whether an attempt may continue the answer.
+
+        The first one may, until another is started; the others are cancelled.
+        """
+        if self._winner is None:
+            self._winner = attempt
+            for task, other in self._attempts.items():
+                if other is not attempt:
+                    task.cancel()
+        return self._winner is attempt
+
+    async def wait(self) -> bool:
+        """Wait until an attempt has ended or fallen silent.
+
+        Return whether the call is answered. An exception of an attempt is raised,
+        except for a refusal, which is kept.
+        """
+        waiting: list[asyncio.Future[typing.Any]] = [self._silence, *self._attempts]
+        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        if self._silence.done():
+            self._silence = self._loop.create_future()
+        ended = [task for task in self._attempts if task.done()]
+        return any([self._finish(task) for task in ended])
+
+    async def cancel(self) -> None:
+        """End all attempts."""
+        for task in self._attempts:
+            task.cancel()
+        await asyncio.gather(*self._attempts, return_exceptions=True)
+
+    def _record_silence(self) -> None:
+        if not self._silence.done():
+            self._silence.set_result(None)
+
+    def _finish(self, task: 'asyncio.Task[bool]') -> bool:
+        """Remove an ended attempt, and return whether it has answered the call."""
+        if self._attempts.pop(task) is self._winner:
+            self._winner = None
+        if task.cancelled():
+            return False
+        self.refusal = None
+        try:
+            return task.result()
+        except verdict.Refusal as exc:
+            self.refusal = exc
+            return False
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -24,8 +24,9 @@
 class Call:
     """One call; times are in seconds of the event loop's clock.
 
-    `deadline_at` is when the caller gets a final answer at the latest. `spent_s` is
-    the time that the caller had spent on earlier attempts when it sent this request.
+    `deadline_at` is when the caller gets a final answer at the latest. `resume_from`
+    is the id of the last event that the caller has, 0 for none. `spent_s` is the time
+    that the caller had spent on earlier attempts when it sent this request.
     `tried` and `refused_by` list the ids of servers. `version` is the version of the
     model at the server chosen last, `required_version` the lowest one that was
     allowed then. `answer_started` is set once a part of a stream has been sent to
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -1,4 +1,4 @@
-"""The watcher: aborts attempts that stall, or that run on an outdated version."""
+"""The watcher: reports attempts that are silent, and aborts outdated ones."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,7 +13,7 @@
 
 
 class AttemptWatcher:
-    """Checks all attempts under way, and aborts those that have to be retried."""
+    """Checks all attempts under way at intervals."""
 
     def __init__(
         self,
@@ -57,9 +57,9 @@
                 self._check(attempt)
 
     def _check(self, attempt: attempts.Attempt) -> None:
-        """Abort an attempt that is outdated, or silent for too long."""
+        """Abort an attempt that is outdated; report one that is silent for too long."""
         call = attempt.call
-        if attempt.outdated or attempt.stalled:
+        if attempt.outdated:
             return
         if call.model and not attempt.has_body_begun:
             min_version = self._min_version_to_begin(call.model)
@@ -69,8 +69,7 @@
         now = self._clock()
         if not call.route.repeatable or not call.can_send_again(now):
             return
-        silent_s = now - attempt.last_progress_at
+        silent_s = now - max(attempt.last_progress_at, attempt.silence_reported_at)
         limit_s = silence.get_silence_limit_s(attempt)
-        # Where no other server can continue, a slow one may still do so.
         if silent_s > limit_s and self._can_go_elsewhere(attempt):
-            attempt.abort_stalled(f'limit_s={limit_s:.2f}')
+            attempt.report_silence(limit_s)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -124,3 +124,22 @@
         _assert_equal((reply.body, reply.whole), (EVENTS, True))
 
     in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/read/1', '/book/1'])
+def test_call_outlives_its_route_and_service(in_fleet, path):
+    """A new configuration drops both while the server is silent."""
+    first = _pausing_stream(1.7) if path == '/chat/1' else _answer_late
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, first, stand.hang)
+
+    async def check(fleet):
+        call = asyncio.create_task(fleet.call(path))
+        await asyncio.sleep(0.5)
+        without = stand.configuration(2, routes=[], services=[])
+        fleet.store.put('op/config', without)
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        reply = await call
+        _assert_equal((reply.status, reply.whole), (200, True))
+
+    in_fleet(check, *servers)
