Streams: only a signed stream continues or ends one that has begun

What callers saw: a stream broke off after three of six events, the next server answered 400, 404, 500 or 503, and the caller's stream ended as if it were complete. With a signed text of another type that holds blank lines, its text stood in the stream.

Cause: a signed answer that was not sent elsewhere was taken as the final one, and sending the final answer of a stream that has begun ends it, whatever the answer was.

Change: once a stream has begun, only a signed success of its media type is accepted. Any other answer is a failed attempt: the call goes on at another server within attempts, time and retry budget, else the connection is closed without the end mark. The outcome counts for the server as before: only an error of its own is a failure. A signed success of another type on a route of streams is kept and forwarded when it is complete, as it has no events from which another server could go on.

Evidence: tests/test_broken_streams.py. On the code before, 18 of its 29 cases fail: (status 200, events 1 to 3, complete) instead of not complete or of all six events, for signed 400, 404, 302, successes of another type, without type or without body, and for 500 and 503 with no attempt left; a text that broke off was joined with the next answer. Unsigned streams, refusals and 500 with an attempt left were sound. All 29 pass now, and tests/test_platform_calls.py.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -45,6 +45,14 @@
     leaving: bool = False
     quiet_s: float = 0.0
 
+    @property
+    def media_type(self) -> str:
+        """Return the media type of the body in lower case, empty if not stated."""
+        for name, text in self.headers:
+            if name.lower() == 'content-type':
+                return text.partition(';')[0].strip().lower()
+        return ''
+
 
 class AnswerSink(typing.Protocol):
     """The receiver of a call's answer: the connection to the caller."""
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -4,8 +4,9 @@
 
 from primrosesaddle.net import memory
 
-__all__ = ('EventSplitter',)
+__all__ = ('MEDIA_TYPE', 'EventSplitter')
 
+MEDIA_TYPE = 'text/event-stream'
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _MAX_END_BYTES = 4
 _EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -276,13 +276,13 @@
     ) -> Callable[[bytes], Awaitable[None] | None]:
         """Return a hook that forwards the complete events of a stream as they arrive.
 
-        The body of an unsigned answer or of an error is buffered instead.
+        The body of any other answer is buffered instead.
         """
         splitter.reset()
 
         def on_body(chunk: bytes) -> Awaitable[None] | None:
             head = attempt.head
-            if head is None or not head.signed or head.status >= 300:
+            if head is None or not _is_stream(head, call):
                 attempt.on_body(chunk)
                 return None
             attempt.has_body_begun = True
@@ -302,6 +302,7 @@
         """Send the head of a stream to the caller, if that has not been done."""
         if not call.answer_started and attempt.head is not None:
             call.answer_started = True
+            call.stream_type = attempt.head.media_type
             first_s = self._clock() - call.arrived_at
             call.first_event_s = first_s
             started_s = self._clock() - attempt.started_at
@@ -341,14 +342,23 @@
             self._log_attempt(attempt, call, 'unsigned')
             return False
         call.record_verdict(verdict.Verdict.RAN)
-        failed = head.status >= 500
-        backend.record_outcome(failed=failed)
-        if failed and call.route.repeatable and call.can_send_again(self._clock()):
+        backend.record_outcome(failed=head.status >= 500)
+        if not self._is_acceptable(head, call):
             self._log_attempt(attempt, call, 'failed')
             return False
         self._send_answer(attempt, call, sink, splitter)
         return True
 
+    def _is_acceptable(self, head: attempts.AnswerHead, call: request.Call) -> bool:
+        """Return whether a signed answer may be the final one of a call.
+
+        Nothing but a stream may follow a part of a stream.
+        """
+        if call.answer_started:
+            return _is_stream(head, call)
+        may_repeat = call.route.repeatable and call.can_send_again(self._clock())
+        return head.status < 500 or not may_repeat
+
     def _record_broken_answer(self, attempt: attempts.Attempt) -> None:
         """Count an incomplete answer as a failure of its server.
 
@@ -453,3 +463,12 @@
             verdict=call.worst_verdict.value,
             **fields,
         )
+
+
+def _is_stream(head: attempts.AnswerHead, call: request.Call) -> bool:
+    """Return whether an answer to a stream's call is a stream of its media type.
+
+    An answer that states no media type is one, unless the stream began with one.
+    """
+    is_success = head.signed and 200 <= head.status < 300
+    return is_success and head.media_type in {call.stream_type, events.MEDIA_TYPE}
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -29,7 +29,7 @@
     `tried` and `refused_by` list the ids of servers. `version` is the version of the
     model at the server chosen last, `required_version` the lowest one that was
     allowed then. `answer_started` is set once a part of a stream has been sent to
-    the caller.
+    the caller, `stream_type` is the media type that was stated with it.
     """
 
     call_id: str
@@ -56,6 +56,7 @@
     version: int = 0
     required_version: int = 0
     answer_started: bool = False
+    stream_type: str = ''
 
     @property
     def objective_at(self) -> float:
