Streams: one without a length that closes inside an event has broken off

What callers saw: a server answered with a stream that has neither a length nor chunks, and closed the connection inside an event. The torn event reached the caller, and the answer was framed as complete; a close before the first event gave a 200 without a body.

Cause: a body that ends with its connection was complete when the server closed in order, and the bytes after the last event were sent with the end of a complete answer.

Change: such a stream is complete only if an event is the last thing received of it. Else it counts as a broken answer: the torn event is dropped, and the call goes on at another server from the last complete event, or is broken off without the end mark, or answered 502 if nothing had been sent. Bodies with a length or in chunks, and answers of other media types, are kept whole as before.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -33,6 +33,7 @@
     of the server of a chain that could not run its layers, empty for none. `leaving`
     is whether the server says that it is leaving. `quiet_s` is for how many seconds a
     server that refuses the call wants no calls, NaN for an unreadable time, 0 for none.
+    `ends_at_close` is whether only the end of the connection ends the body.
     """
 
     status: int
@@ -44,6 +45,7 @@
     at_fault: str = ''
     leaving: bool = False
     quiet_s: float = 0.0
+    ends_at_close: bool = False
 
     @property
     def media_type(self) -> str:
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -35,6 +35,12 @@
         self.event_count = 0
         self._buffer = bytearray()
         self._search_from = 0
+        self._has_event = False
+
+    @property
+    def is_between_events(self) -> bool:
+        """Tell whether an event, new or not, is the last thing fed since `reset`."""
+        return self._has_event and not self._buffer.strip(b'\r\n')
 
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes, and return the new events that they complete.
@@ -50,6 +56,7 @@
             if self._is_new(event):
                 complete.append(event)
         if begin:
+            self._has_event = True
             self._buffer = self._buffer[begin:]
         # Bytes searched before are not searched again, so that the work for an event
         # that arrives in many parts grows with its size, not with its square.
@@ -70,6 +77,7 @@
         """Discard the incomplete event, as after a server closed the connection."""
         self._buffer = bytearray()
         self._search_from = 0
+        self._has_event = False
         self._reservation.release()
 
     def _is_new(self, event: bytes) -> bool:
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -322,6 +322,9 @@
         """Evaluate the end of an attempt; return whether the call is answered."""
         head = attempt.head
         backend = attempt.choice.backend
+        if ending is upstream.Ending.COMPLETE and _is_cut_off(head, call, splitter):
+            attempt.broken_reason = 'closed by the server inside a stream'
+            ending = upstream.Ending.BROKEN
         if ending is upstream.Ending.BROKEN or head is None:
             call.record_verdict(verdict.Verdict.MAY_HAVE_RUN)
             if not attempt.outdated:
@@ -472,3 +475,21 @@
     """
     is_success = head.signed and 200 <= head.status < 300
     return is_success and head.media_type in {call.stream_type, events.MEDIA_TYPE}
+
+
+def _is_cut_off(
+    head: attempts.AnswerHead | None,
+    call: request.Call,
+    splitter: events.EventSplitter,
+) -> bool:
+    """Return whether a stream that ended with its connection is not complete.
+
+    It has to end with an event, as nothing else tells that it is complete.
+    """
+    return (
+        call.route.kind is routes.RouteKind.STREAM
+        and head is not None
+        and head.ends_at_close
+        and _is_stream(head, call)
+        and not splitter.is_between_events
+    )
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -137,11 +137,16 @@
 
 
 class Head(typing.NamedTuple):
-    """Status line and headers of an answer."""
+    """Status line and headers of an answer.
+
+    `ends_at_close` is whether its body has neither a length nor chunks, and ends with
+    the connection.
+    """
 
     status: int
     reason: str
     headers: httputil.HTTPHeaders
+    ends_at_close: bool = False
 
 
 class Exchange:
@@ -256,7 +261,8 @@
         if self._is_stray:
             return
         self._update_keep_alive(headers)
-        self._on_head(Head(status, self._reason or 'Status', headers))
+        reason = self._reason or 'Status'
+        self._on_head(Head(status, reason, headers, self._ends_at_close))
         if self._is_head_request:
             self._complete()
 
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -67,6 +67,7 @@
         at_fault=headers.get(names.AT_FAULT_HEADER, ''),
         leaving=is_leaving(headers),
         quiet_s=_parse_quiet_s(headers) if head.status in REFUSAL_STATUSES else 0.0,
+        ends_at_close=head.ends_at_close,
     )
 
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -36,6 +36,12 @@
     'unsigned stream': (200, (EVENT_STREAM,), stand.event(4)),
     'refusal': (503, ('X-Not-Executed: 1', JSON), ERROR),
 }
+# What follows the last complete event of a stream that ends inside an event.
+TORN_EVENTS = {
+    'id': b'id: 4',
+    'data': b'id: 4\ndata: wo',
+    'missing blank line': b'id: 4\ndata: word-4\n',
+}
 
 
 def _assert_equal(actual, expected):
@@ -221,3 +227,111 @@
         _send_until_close(TEXT, lines=claims),
         _send_whole(*OTHER_ANSWERS['signed text with blank lines']),
     )
+
+
+@pytest.mark.parametrize('torn', list(TORN_EVENTS))
+@pytest.mark.parametrize('events', [0, 1, BROKEN_AFTER])
+def test_stream_that_closes_inside_an_event_goes_on_elsewhere(in_fleet, torn, events):
+    """It has no length, so only the torn event tells that it broke off."""
+    whole = _join_events(1, events)
+    part = TORN_EVENTS[torn].replace(b'4', str(events + 1).encode())
+
+    async def check(fleet, sent):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.body, reply.whole), (_join_events(1, EVENT_COUNT), True))
+        resumed = [seen.headers.get('last-event-id') for seen in sent]
+        _assert_equal(resumed, [None, str(events) if events else None])
+
+    _play(in_fleet, check, _send_until_close(whole, part), stand.stream(EVENT_COUNT))
+
+
+@pytest.mark.parametrize('torn', list(TORN_EVENTS))
+@pytest.mark.parametrize('path', ['/chat/1', '/live/1'])
+def test_torn_event_does_not_reach_the_caller(in_fleet, path, torn):
+    """Where no attempt is left, or none allowed, the stream ends visibly before it."""
+    script = _send_until_close(_join_events(1, BROKEN_AFTER), TORN_EVENTS[torn])
+
+    async def check(fleet, sent):
+        reply = await fleet.call(path)
+        _assert_equal((reply.body, reply.whole), (_join_events(1, BROKEN_AFTER), False))
+        _assert_equal(len(sent), 1)
+
+    _play(in_fleet, check, script, max_attempts=1)
+
+
+@pytest.mark.parametrize('part', [b'', b'id: 1\ndata: wo', b'\r\n'])
+@pytest.mark.parametrize('path', ['/chat/1', '/live/1'])
+def test_stream_that_closes_before_its_first_event_is_no_success(in_fleet, path, part):
+    """The server ended after the head, or in the first event."""
+
+    async def check(fleet, sent):
+        reply = await fleet.call(path)
+        _assert_equal(reply.status, 502)
+        assert stand.SEAL.lower() not in reply.headers
+        _assert_equal(len(sent), 1)
+
+    _play(in_fleet, check, _send_until_close(part), max_attempts=1)
+
+
+@pytest.mark.parametrize('part', [b'', b'id: 4\nda', stand.event(4) + b'id: 5\n'])
+@pytest.mark.parametrize('max_attempts', [2, 3])
+def test_continuation_that_closes_early_does_not_end_a_stream(
+    in_fleet, part, max_attempts
+):
+    """It has no length, and closes before an event or inside one."""
+
+    async def check(fleet, sent):
+        reply = await fleet.call('/chat/1')
+        got = BROKEN_AFTER + part.count(b'\n\n')
+        expected = _join_events(1, EVENT_COUNT if max_attempts == 3 else got)
+        _assert_equal((reply.body, reply.whole), (expected, max_attempts == 3))
+        _assert_equal(len(sent), max_attempts)
+
+    scripts = _break_off(), _send_until_close(part), stand.stream(EVENT_COUNT)
+    _play(in_fleet, check, *scripts[:max_attempts], max_attempts=max_attempts)
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/live/1'])
+@pytest.mark.parametrize('end', [b'', b'\n', b'\r\n'])
+@pytest.mark.parametrize('stated', [(EVENT_STREAM,), (f'{EVENT_STREAM};a=b',), ()])
+def test_stream_that_closes_after_an_event_is_complete(in_fleet, path, end, stated):
+    """A server may mark the end of its answer by closing; it is not made twice."""
+    body = _join_events(1, EVENT_COUNT) + end
+
+    async def check(fleet, sent):
+        reply = await fleet.call(path)
+        _assert_equal((reply.status, reply.body, reply.whole), (200, body, True))
+        _assert_equal(len(sent), 1)
+
+    _play(in_fleet, check, _send_until_close(body, lines=stated))
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/live/1', '/read/1', '/book/1'])
+def test_answer_of_another_type_is_complete_when_it_closes(in_fleet, path):
+    """Only a stream of events tells by itself that it is not complete."""
+
+    async def check(fleet, sent):
+        reply = await fleet.call(path)
+        _assert_equal((reply.status, reply.body, reply.whole), (200, TEXT, True))
+        _assert_equal(len(sent), 1)
+
+    _play(in_fleet, check, _send_until_close(TEXT, lines=('Content-Type: text/plain',)))
+
+
+@pytest.mark.parametrize('torn', list(TORN_EVENTS))
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+def test_body_whose_framing_is_complete_is_kept_whole(in_fleet, framing, torn):
+    """The last event lacks its end, but nothing is missing of the server's body."""
+    body = _join_events(1, BROKEN_AFTER) + TORN_EVENTS[torn]
+    line = f'Content-Length: {len(body)}'
+    sent_body = body
+    if framing == 'chunks':
+        line = 'Transfer-Encoding: chunked'
+        sent_body = f'{len(body):x}\r\n'.encode() + body + b'\r\n0\r\n\r\n'
+
+    async def check(fleet, sent):
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.status, reply.body, reply.whole), (200, body, True))
+        _assert_equal(len(sent), 1)
+
+    _play(in_fleet, check, _send_until_close(sent_body, lines=(EVENT_STREAM, line)))
