Tests: an answer that closes inside its head is no success

Operators of similar systems saw a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head and closed.

--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -335,3 +335,38 @@
         _assert_equal(len(sent), 1)
 
     _play(in_fleet, check, _send_until_close(sent_body, lines=(EVENT_STREAM, line)))
+
+
+# Where the head of an answer is cut, counted from its end.
+HEAD_CUTS = {
+    'before the empty line': 2,
+    'in the last line end': 3,
+    'in the last header': 9,
+    'after the status line': None,
+}
+
+
+@pytest.mark.parametrize('cut', list(HEAD_CUTS))
+@pytest.mark.parametrize('framing', ['Content-Length: 40', 'Connection: close'])
+@pytest.mark.parametrize('path', ['/chat/1', '/live/1', '/read/1', '/book/1'])
+def test_answer_that_closes_inside_its_head_is_no_success(in_fleet, path, framing, cut):
+    """Neither its status nor a part of its headers may reach the caller."""
+
+    async def script(seen):
+        status_line = 'HTTP/1.1 200 OK\r\n'
+        head = (
+            f'{status_line}{EVENT_STREAM}\r\nX-Attempt-Id: {seen.request_id}\r\n'
+            f'{stand.SEAL}: seal-1\r\n{framing}\r\n\r\n'
+        )
+        kept = HEAD_CUTS[cut]
+        seen.writer.write((head[:-kept] if kept else status_line).encode())
+        await seen.writer.drain()
+        raise ConnectionError
+
+    async def check(fleet, sent):
+        reply = await fleet.call(path)
+        _assert_equal(reply.status, 502)
+        assert stand.SEAL.lower() not in reply.headers
+        _assert_equal(len(sent), 2 if path in {'/chat/1', '/read/1'} else 1)
+
+    _play(in_fleet, check, script, script)
