Merge: streams that break off, beside attempts at the same time

The checks of an answer are properties of its attempt, so that each of two attempts is judged by its own head and events. An answer that cannot end a stream which has begun is rejected before it could end the other attempt.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -5,7 +5,7 @@
 import typing
 from collections.abc import Awaitable, Callable
 
-from primrosesaddle.calls import events, placement, request
+from primrosesaddle.calls import events, placement, request, routes
 from primrosesaddle.core import verdict
 from primrosesaddle.net import memory, upstream
 from primrosesaddle.telemetry import journal
@@ -33,6 +33,7 @@
     of the server of a chain that could not run its layers, empty for none. `leaving`
     is whether the server says that it is leaving. `quiet_s` is for how many seconds a
     server that refuses the call wants no calls, NaN for an unreadable time, 0 for none.
+    `ends_at_close` is whether only the end of the connection ends the body.
     """
 
     status: int
@@ -44,6 +45,15 @@
     at_fault: str = ''
     leaving: bool = False
     quiet_s: float = 0.0
+    ends_at_close: bool = False
+
+    @property
+    def media_type(self) -> str:
+        """Return the media type of the body in lower case, empty if not stated."""
+        for name, text in self.headers:
+            if name.lower() == 'content-type':
+                return text.partition(';')[0].strip().lower()
+        return ''
 
 
 class AnswerSink(typing.Protocol):
@@ -100,7 +110,8 @@
     `last_progress_at` is the time of the last progress: the head of the answer, or a
     part of a signed body that has a Content-Length. Parts of other bodies do not
     count, as such a body may never end. `silent` is whether the lack of progress has
-    been reported to `on_silence`, the last time at `silence_reported_at`.
+    been reported to `on_silence`, the last time at `silence_reported_at`. Once it has
+    ended, `is_complete` tells whether the answer is, and `broken_reason` why not.
     """
 
     def __init__(
@@ -127,8 +138,8 @@
         self.on_silence: Callable[[], None] | None = None
         self.outdated = False
         self.has_body_begun = False
+        self.is_complete = False
         self.broken_reason = ''
-        self.sent = False
         self.conn: upstream.Connection | None = None
         self.body: list[bytes] = []
         self.size = 0
@@ -159,6 +170,43 @@
         self._reservation.resize(self.size)
         self.body.append(chunk)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the answer reports an error of the server."""
+        return self.head is not None and self.head.status >= 500
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a signed stream of the media type of its call.
+
+        One that states no media type is, unless the stream began with one.
+        """
+        head = self.head
+        if head is None or not head.signed or not 200 <= head.status < 300:
+            return False
+        return head.media_type in {self.call.stream_type, events.MEDIA_TYPE}
+
+    def record_ending(self, ending: upstream.Ending, failure: str) -> None:
+        """Record how the exchange ended, and whether the answer is complete.
+
+        A stream that ends with its connection has to end with an event, as nothing
+        else tells that it is complete.
+        """
+        self.is_complete = ending is upstream.Ending.COMPLETE
+        self.broken_reason = failure
+        if self.is_complete and self._is_torn():
+            self.is_complete = False
+            self.broken_reason = 'closed by the server inside a stream'
+
+    def _is_torn(self) -> bool:
+        return (
+            self.call.route.kind is routes.RouteKind.STREAM
+            and self.head is not None
+            and self.head.ends_at_close
+            and self.is_stream
+            and not self.splitter.is_between_events
+        )
+
     def release_memory(self) -> None:
         """Discard an incomplete event, and release what is reserved."""
         self.splitter.reset()
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -169,7 +169,6 @@
             self._log_attempt(attempt, call, 'withdrawn')
             return False
         attempt.conn = conn
-        attempt.sent = True
         service_name = backend.record.service
         if call.tried:
             journal.info('call.repeated', id=call.call_id, server=backend.server_id)
@@ -199,7 +198,7 @@
                 call.body,
             )
             ending = await exchange.read_answer()
-            attempt.broken_reason = exchange.failure
+            attempt.record_ending(ending, exchange.failure)
         except asyncio.CancelledError:
             conn.close()
             if attempt.silent:
@@ -210,7 +209,7 @@
             self.watcher.discard(attempt)
         if ending is upstream.Ending.COMPLETE:
             self._release_connection(backend, conn)
-        return self._finish_attempt(attempt, call, sink, contest, ending)
+        return self._finish_attempt(attempt, call, sink, contest)
 
     def _can_go_elsewhere(self, attempt: attempts.Attempt) -> bool:
         """Return whether a server that was not tried, and the budget, allow a retry."""
@@ -303,12 +302,11 @@
     ) -> Callable[[bytes], Awaitable[None] | None]:
         """Return a hook that forwards the complete events of a stream as they arrive.
 
-        The body of an unsigned answer or of an error is buffered instead.
+        The body of any other answer is buffered instead.
         """
 
         def on_body(chunk: bytes) -> Awaitable[None] | None:
-            head = attempt.head
-            if head is None or not head.signed or head.status >= 300:
+            if not attempt.is_stream:
                 attempt.on_body(chunk)
                 return None
             attempt.has_body_begun = True
@@ -330,6 +328,7 @@
         """Send the head of a stream to the caller, if that has not been done."""
         if not call.answer_started and attempt.head is not None:
             call.answer_started = True
+            call.stream_type = attempt.head.media_type
             first_s = self._clock() - call.arrived_at
             call.first_event_s = first_s
             started_s = self._clock() - attempt.started_at
@@ -344,12 +343,11 @@
         call: request.Call,
         sink: attempts.AnswerSink,
         contest: race.Race,
-        ending: upstream.Ending,
     ) -> bool:
         """Evaluate the end of an attempt; return whether the call is answered."""
         head = attempt.head
         backend = attempt.choice.backend
-        if ending is upstream.Ending.BROKEN or head is None:
+        if head is None or not attempt.is_complete:
             call.record_verdict(verdict.Verdict.MAY_HAVE_RUN)
             if not attempt.outdated:
                 self._record_broken_answer(attempt)
@@ -369,9 +367,8 @@
             self._log_attempt(attempt, call, 'unsigned')
             return False
         call.record_verdict(verdict.Verdict.RAN)
-        failed = head.status >= 500
-        backend.record_outcome(failed=failed)
-        if failed and self._may_go_on(attempt, contest):
+        backend.record_outcome(failed=attempt.has_failed)
+        if not self._is_acceptable(attempt, contest):
             self._log_attempt(attempt, call, 'failed')
             return False
         if contest.claim(attempt):
@@ -379,12 +376,18 @@
             return True
         return False
 
-    def _may_go_on(self, attempt: attempts.Attempt, contest: race.Race) -> bool:
-        """Return whether the call may be answered by another attempt."""
+    def _is_acceptable(self, attempt: attempts.Attempt, contest: race.Race) -> bool:
+        """Return whether a signed answer may be the final one of a call.
+
+        Nothing but a stream may follow a part of a stream.
+        """
         call = attempt.call
-        return call.route.repeatable and (
-            call.can_send_again(self._clock()) or contest.has_others(attempt)
+        if call.answer_started:
+            return attempt.is_stream
+        may_go_on = call.route.repeatable and (
+            contest.has_others(attempt) or call.can_send_again(self._clock())
         )
+        return not attempt.has_failed or not may_go_on
 
     def _record_broken_answer(self, attempt: attempts.Attempt) -> None:
         """Count an incomplete answer as a failure of its server.
