Planned stop: a body that comes late is judged by its own time

What callers saw: a request whose head came in the first 3 s of a planned stop and whose body came after them was passed on whatever its time limit, and could be cut when the process ended. Cause: the check compared the time at which the head arrived. Change: the decision is a class of its own, `calls/draining.py`, and is made at the time of the check. Evidence: test_request_whose_body_comes_late_in_a_stop_is_refused_unsent got 200 from the server before (`200 != 503`), now 503 not_run with nothing sent.

--- /dev/null
+++ b/src/primrosesaddle/calls/draining.py
@@ -0,0 +1,60 @@
+"""Draining: which calls a leaving process still serves."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from primrosesaddle.calls import refusals, request
+from primrosesaddle.core import verdict
+
+__all__ = ('Drain',)
+
+LEAVING = 'leaving'  # the reason that callers get
+LEAVING_RETRY_S = 0.1  # another entry takes the call at once
+
+
+class Drain:
+    """Decides which calls are passed on to servers until the process ends.
+
+    Until `start` all are, with no limit but their own.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Create the drain of a process that is not leaving.
+
+        `clock` returns seconds.
+        """
+        self.leaving = False
+        self._clock = clock
+        self._callers_gone_at = math.inf
+        self._ends_at = math.inf
+
+    def start(self, callers_gone_at: float, ends_at: float) -> None:
+        """Serve only what can be answered before the process ends.
+
+        From `callers_gone_at` on no more callers are expected, at `ends_at` every
+        call has to be answered. Both are in seconds of the clock of this object.
+        """
+        self.leaving = True
+        self._callers_gone_at = callers_gone_at
+        self._ends_at = ends_at
+
+    def admits(self, call: request.Call, remaining_s: float) -> bool:
+        """Return whether a call with `remaining_s` of its time limit may be sent.
+
+        As long as callers do not know that this process is leaving, all are: most end
+        long before their limit.
+        """
+        now = self._clock()
+        return now < self._callers_gone_at or now + remaining_s <= self._ends_at
+
+    def check_admitted(self, call: request.Call) -> None:
+        """Raise `verdict.Refusal` if a call may not be sent to a server now."""
+        remaining_s = call.deadline_at - asyncio.get_running_loop().time()
+        if not self.admits(call, remaining_s):
+            raise make_refusal()
+
+
+def make_refusal() -> verdict.Refusal:
+    """Return the refusal of a call that another entry should serve."""
+    return verdict.not_run(LEAVING, refusals.STATUS_UNAVAILABLE, LEAVING_RETRY_S)
--- a/src/primrosesaddle/calls/intake.py
+++ b/src/primrosesaddle/calls/intake.py
@@ -1,16 +1,15 @@
 """Request intake: authenticates and admits requests, and has their calls forwarded."""
 
+import asyncio
 import dataclasses
-import math
 
-from primrosesaddle.calls import attempts, forwarding, request, routes
+from primrosesaddle.calls import attempts, draining, forwarding, request, routes
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.telemetry import journal
 
 __all__ = ('IncomingRequest', 'RequestIntake')
 
-LEAVING_RETRY_S = 0.1  # another entry takes the call at once
 NOT_READY_RETRY_S = 1.0  # a new process has a configuration within a second
 # A caller that states a time limit shorter than the longest by more than this share
 # is retrying: the time limits of first attempts differ by up to a sixth.
@@ -61,26 +60,24 @@
     """Admits requests that the configuration allows, and refuses all others."""
 
     def __init__(
-        self, published: fleetview.View, forwarder: forwarding.Forwarder
+        self,
+        published: fleetview.View,
+        forwarder: forwarding.Forwarder,
+        drain: draining.Drain | None = None,
     ) -> None:
-        """Decide by the configuration in a view, and serve calls by a forwarder."""
+        """Decide by the configuration in a view, and serve calls by a forwarder.
+
+        A process without a `drain` never leaves.
+        """
         self._view = published
         self._forwarder = forwarder
         self._stated_limits: dict[str, _StatedLimits] = {}
-        self.leaving = False
-        self._callers_gone_at = math.inf
-        self._ends_at = math.inf
-
-    def start_draining(self, callers_gone_at: float, ends_at: float) -> None:
-        """Keep serving while this process leaves.
+        self._drain = drain or draining.Drain(asyncio.get_running_loop().time)
 
-        From `callers_gone_at` on, when no more callers are expected, a call is
-        admitted only if its time limit is before `ends_at`. Both are in seconds of
-        the event loop's clock.
-        """
-        self.leaving = True
-        self._callers_gone_at = callers_gone_at
-        self._ends_at = ends_at
+    @property
+    def leaving(self) -> bool:
+        """Return whether this process is leaving."""
+        return self._drain.leaving
 
     @property
     def in_flight(self) -> int:
@@ -122,11 +119,7 @@
             raise verdict.not_run('no_request_id', STATUS_MALFORMED)
         workspace = self._find_workspace(conf, route, incoming.key)
         call = _make_call(incoming, conf, route, workspace)
-        if (
-            incoming.arrived_at >= self._callers_gone_at
-            and call.deadline_at > self._ends_at
-        ):
-            raise verdict.not_run('leaving', 503, LEAVING_RETRY_S)
+        self._drain.check_admitted(call)
         call.spent_s = self._spent_s(route, incoming.deadline_s)
         return call
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -9,6 +9,7 @@
     admission,
     backends,
     budget,
+    draining,
     forwarding,
     intake,
     placement,
@@ -79,7 +80,10 @@
         departures.share_departures(self.mesh, self.backends)
         self._admission = self._make_admission()
         self._forwarder = self._make_forwarder()
-        self._request_intake = intake.RequestIntake(self._view, self._forwarder)
+        self._drain = draining.Drain(self._clock)
+        self._request_intake = intake.RequestIntake(
+            self._view, self._forwarder, self._drain
+        )
         self._call_application = platform.applications.make_call_application(
             self._request_intake
         )
@@ -163,15 +167,16 @@
         began = self._clock()
         callers_gone_at = began + DIRECTORY_TTL_S * LATE_CALLERS_FACTOR
         stop_by = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
-        self._request_intake.start_draining(callers_gone_at, stop_by)
+        self._drain.start(callers_gone_at, stop_by)
         self.mesh.announce_leaving()
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
         while self._clock() < stop_by:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+            now = self._clock()
             if self._call_application.count_unanswered():
-                idle_since = self._clock()
-            idle_s = self._clock() - max(idle_since, callers_gone_at)
+                idle_since = now
+            idle_s = now - max(idle_since, callers_gone_at)
             if idle_s > IDLE_BEFORE_STOP_S:
                 break
         for server in self._servers:
