Planned stop: no booking that could outlast the grace is passed on

What callers saw: a call that may not be repeated was taken in the first 3 s of a planned stop even if its time limit was beyond the end of the grace, and was cut there; its caller could not learn whether it had run. Cause: in these seconds every call was admitted. Change: a call that may not be repeated is admitted only if its whole time limit fits; otherwise it is refused with 503, not_run and a short Retry-After, and another entry takes it at once. Streams that can be continued and idempotent calls are still admitted in these seconds, as nearly all end long before their limit and callers may repeat the few that do not: refusing all of them would cost callers more.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -42,11 +42,15 @@
     def admits(self, call: request.Call, remaining_s: float) -> bool:
         """Return whether a call with `remaining_s` of its time limit may be sent.
 
-        As long as callers do not know that this process is leaving, all are: most end
-        long before their limit.
+        A call that may not be repeated has to end in time whatever happens, as its
+        caller could not learn whether it ran. Others usually end long before their
+        limit: as long as callers do not know that this process is leaving, refusing
+        them would cost callers more than the few that are interrupted.
         """
         now = self._clock()
-        return now < self._callers_gone_at or now + remaining_s <= self._ends_at
+        if now + remaining_s <= self._ends_at:
+            return True
+        return call.route.repeatable and now < min(self._callers_gone_at, self._ends_at)
 
     def check_admitted(self, call: request.Call) -> None:
         """Raise `verdict.Refusal` if a call may not be sent to a server now."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,9 +3,11 @@
 import asyncio
 import json
 
+import pytest
 from testtools import assertions, matchers
 
 import platformstand as stand
+from primrosesaddle.calls import draining, request, routes
 
 CALLERS_GONE_S = 3.0  # after a stop began, callers know that the entry leaves
 LEAVING = {'verdict': 'not_run', 'reason': 'leaving'}
@@ -22,6 +24,13 @@
     assert float(reply.headers['retry-after']) < 0.5
 
 
+def _make_call(kind, resumable):
+    route = routes.Route(
+        'r', 'h', '/', kind, 5.0, 1, 2, 0, (('s', 1.0),), resumable=resumable
+    )
+    return request.Call('c', 'GET', '/', (), b'', route, '', 0, 0.0, 5.0, 1)
+
+
 def _begin_stop(fleet):
     return asyncio.create_task(fleet.entry.stop())
 
@@ -41,6 +50,49 @@
     return reply
 
 
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'after_s', 'remaining_s', 'expected'),
+    [
+        (routes.RouteKind.NON_IDEMPOTENT, False, 0.0, 7.0, True),
+        (routes.RouteKind.NON_IDEMPOTENT, False, 0.0, 7.1, False),
+        (routes.RouteKind.NON_IDEMPOTENT, False, 6.0, 0.9, True),
+        (routes.RouteKind.STREAM, False, 0.0, 30.0, False),
+        (routes.RouteKind.STREAM, True, 2.9, 30.0, True),
+        (routes.RouteKind.STREAM, True, 3.0, 30.0, False),
+        (routes.RouteKind.STREAM, True, 3.0, 4.0, True),
+        (routes.RouteKind.IDEMPOTENT, False, 2.9, 5.0, True),
+        (routes.RouteKind.IDEMPOTENT, False, 3.0, 5.0, False),
+        (routes.RouteKind.IDEMPOTENT, False, 7.1, 0.1, False),
+    ],
+)
+def test_only_what_ends_in_time_is_taken_while_leaving(
+    clock, kind, resumable, after_s, remaining_s, expected
+):
+    """Callers come for 3 s, and every call has to be answered after 7 s."""
+    drain = draining.Drain(clock)
+    call = _make_call(kind, resumable)
+    _assert_equal(drain.admits(call, 1e9), True)
+    drain.start(clock.now + CALLERS_GONE_S, clock.now + 7.0)
+    clock.now += after_s
+    _assert_equal(drain.admits(call, remaining_s), expected)
+
+
+def test_booking_that_could_outlast_the_grace_is_refused_from_the_start(in_fleet):
+    """It would be cut at the end, and its caller could not know whether it ran."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.1)
+        _assert_refused_unsent(await fleet.call('/book/1', deadline_ms=4000))
+        _assert_equal(server.seen, [])
+        _assert_equal((await fleet.call('/book/2', deadline_ms=800)).status, 200)
+        _assert_equal((await fleet.call('/read/3', deadline_ms=4000)).status, 200)
+        await stopping
+
+    in_fleet(check, server, grace_s=2.5)
+
+
 def test_request_whose_body_comes_late_in_a_stop_is_refused_unsent(in_fleet):
     """Its head came while callers were still expected; its limit counts from there."""
     server = stand.Server('a')
