Planned stop: what can no longer end in time is not sent after a wait or a refusal

What callers saw: a call that was taken early in a planned stop, and then waited for a server or was refused by one, was passed on late in the grace whatever its time limit. Cause: only the arrival was checked. Change: each attempt is checked as well; a call that certainly has not run gets 503, not_run and a short Retry-After. A call that may have run cannot be promised anything, and a stream that has begun is worth more than its failure, so that these go on. Evidence: before, the test of a call that waits got 200 from the server (`200 != 503`), the test of a call that a server refuses was sent to the second server as well (`refused_by: ['i-b', 'i-a']`); both are refused now. The test of a stream that breaks off passed before and after: it guards the exception.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -45,8 +45,11 @@
         A call that may not be repeated has to end in time whatever happens, as its
         caller could not learn whether it ran. Others usually end long before their
         limit: as long as callers do not know that this process is leaving, refusing
-        them would cost callers more than the few that are interrupted.
+        them would cost callers more than the few that are interrupted. A call that
+        may have run cannot be refused any more.
         """
+        if call.worst_verdict is not verdict.Verdict.NOT_RUN:
+            return True
         now = self._clock()
         if now + remaining_s <= self._ends_at:
             return True
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -11,6 +11,7 @@
     attempts,
     backends,
     budget,
+    draining,
     events,
     refusals,
     request,
@@ -47,6 +48,7 @@
     admission: admission.Admission
     pool: pool.Pool
     retry_budget: budget.RetryBudget
+    drain: draining.Drain
     wire: attempts.WireFormat
     metrics: metrics.Metrics
     rand: random.Random
@@ -113,6 +115,7 @@
                 self._deps.wire, call, choice, self._memory_budget
             )
             try:
+                self._deps.drain.check_admitted(call)
                 is_done = await self._make_attempt(
                     attempt, call, sink, splitter, service
                 )
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -79,8 +79,8 @@
         )
         departures.share_departures(self.mesh, self.backends)
         self._admission = self._make_admission()
-        self._forwarder = self._make_forwarder()
         self._drain = draining.Drain(self._clock)
+        self._forwarder = self._make_forwarder()
         self._request_intake = intake.RequestIntake(
             self._view, self._forwarder, self._drain
         )
@@ -280,6 +280,7 @@
                 self._admission,
                 self._connections,
                 repeat_budget,
+                self._drain,
                 self._platform.wire,
                 self._metrics,
                 self._rand,
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 
 import platformstand as stand
 from primrosesaddle.calls import draining, request, routes
+from primrosesaddle.core import verdict
 
 CALLERS_GONE_S = 3.0  # after a stop began, callers know that the entry leaves
 LEAVING = {'verdict': 'not_run', 'reason': 'leaving'}
@@ -31,6 +32,16 @@
     return request.Call('c', 'GET', '/', (), b'', route, '', 0, 0.0, 5.0, 1)
 
 
+def _make_pausing_script(pause_s, last_step):
+    """Return a script that takes its last step after a pause."""
+
+    async def script(seen):
+        await asyncio.sleep(pause_s)
+        await last_step(seen)
+
+    return script
+
+
 def _begin_stop(fleet):
     return asyncio.create_task(fleet.entry.stop())
 
@@ -77,6 +88,16 @@
     _assert_equal(drain.admits(call, remaining_s), expected)
 
 
+def test_call_that_may_have_run_is_not_refused_while_leaving(clock):
+    """Refusing it would promise that it did not run."""
+    drain = draining.Drain(clock)
+    call = _make_call(routes.RouteKind.IDEMPOTENT, resumable=False)
+    drain.start(clock.now, clock.now + 7.0)
+    _assert_equal(drain.admits(call, 8.0), False)
+    call.record_verdict(verdict.Verdict.MAY_HAVE_RUN)
+    _assert_equal(drain.admits(call, 8.0), True)
+
+
 def test_booking_that_could_outlast_the_grace_is_refused_from_the_start(in_fleet):
     """It would be cut at the end, and its caller could not know whether it ran."""
     server = stand.Server('a')
@@ -107,3 +128,59 @@
         await stopping
 
     in_fleet(check, server, grace_s=5.0)
+
+
+def test_call_that_waits_until_late_in_a_stop_is_refused_unsent(in_fleet):
+    """It was taken while callers were expected, and got a server after that."""
+    server = stand.Server('a', _make_pausing_script(0.7, stand.answer()))
+
+    async def check(fleet):
+        fleet.store.put('servers/i-a', server.record(slots=1, sequence=2))
+        await fleet.until(
+            lambda: fleet.entry.backends.get_by_id('i-a').record.slots == 1
+        )
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(CALLERS_GONE_S - 0.5)
+        first = asyncio.create_task(fleet.call('/read/1'))
+        await fleet.until(lambda: server.seen)
+        _assert_refused_unsent(await fleet.call('/read/2'))
+        _assert_equal((await first).status, 200)
+        _assert_equal(len(server.seen), 1)
+        await stopping
+
+    in_fleet(check, server, grace_s=5.0)
+
+
+def test_call_that_a_server_refuses_late_in_a_stop_goes_to_no_other(in_fleet):
+    """The promise that it did not run is still true, and another entry has time."""
+    refusing = stand.answer(503, b'', sealed=False, not_run=True)
+    servers = [stand.Server(name) for name in 'ab']
+    for server in servers:
+        server.script = _make_pausing_script(0.5, refusing)
+
+    async def check(fleet):
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(CALLERS_GONE_S - 0.3)
+        _assert_refused_unsent(await fleet.call('/read/1'))
+        _assert_equal(sum(len(server.seen) for server in servers), 1)
+        await stopping
+
+    in_fleet(check, *servers, grace_s=5.0)
+
+
+def test_stream_that_breaks_off_late_in_a_stop_is_continued(in_fleet):
+    """Its caller has a part of it, and nothing can be promised any more."""
+    servers = [
+        stand.Server(name, stand.stream(4, breaks_after=2, pause_s=0.3))
+        for name in 'ab'
+    ]
+
+    async def check(fleet):
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(CALLERS_GONE_S - 0.3)
+        reply = await fleet.call('/chat/1')
+        expected = b''.join(stand.event(number) for number in range(1, 5))
+        _assert_equal((reply.body, reply.whole), (expected, True))
+        await stopping
+
+    in_fleet(check, *servers, grace_s=5.0)
