Planned stop: calls that are left at the end of the grace get a final answer

What callers saw: calls that were still waiting or running shortly before the end of the grace were cut with no answer, though for those that no server had got a promise was true. Cause: the process only logged how many were left, and ended. Change: each call's time limit is kept while it runs and expires as the grace ends. A call that was never sent gets 503, not_run and a short Retry-After, one that was sent 502 and may_have_run; a stream that has begun is closed without an end, so that it does not look complete.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -1,8 +1,9 @@
-"""Draining: which calls a leaving process still serves."""
+"""Draining: which calls a leaving process still serves, and how the last ones end."""
 
 import asyncio
+import contextlib
 import math
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from primrosesaddle.calls import refusals, request
 from primrosesaddle.core import verdict
@@ -28,6 +29,7 @@
         self._clock = clock
         self._callers_gone_at = math.inf
         self._ends_at = math.inf
+        self._running: dict[asyncio.Timeout, request.Call] = {}
 
     def start(self, callers_gone_at: float, ends_at: float) -> None:
         """Serve only what can be answered before the process ends.
@@ -61,7 +63,39 @@
         if not self.admits(call, remaining_s):
             raise make_refusal()
 
+    @contextlib.asynccontextmanager
+    async def limit_time(self, call: request.Call) -> AsyncIterator[None]:
+        """Interrupt the body of a `with` statement at the deadline of its call.
+
+        Raises `TimeoutError` then, and `verdict.Refusal` when the drain ends the call.
+        """
+        limit = asyncio.timeout_at(call.deadline_at)
+        self._running[limit] = call
+        try:
+            async with limit:
+                yield
+        except TimeoutError as exc:
+            if limit.when() == call.deadline_at:
+                raise
+            if call.tried:
+                raise refusals.refuse_unanswered_call(LEAVING) from exc
+            raise make_refusal() from exc
+        finally:
+            self._running.pop(limit)
+
+    def end_calls(self) -> None:
+        """Give every call its final answer."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._running:
+            _expire(limit, now)
+
 
 def make_refusal() -> verdict.Refusal:
     """Return the refusal of a call that another entry should serve."""
     return verdict.not_run(LEAVING, refusals.STATUS_UNAVAILABLE, LEAVING_RETRY_S)
+
+
+def _expire(limit: asyncio.Timeout, now: float) -> None:
+    """Let a time limit expire now, unless it has expired."""
+    if not limit.expired():
+        limit.reschedule(now)
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -77,7 +77,7 @@
         self.in_flight += 1
         splitter = events.EventSplitter(call.resume_from, self._memory_budget)
         try:
-            async with asyncio.timeout_at(call.deadline_at):
+            async with self._deps.drain.limit_time(call):
                 await self._forward(call, sink, splitter)
         except verdict.Refusal as exc:
             self._send_failure(call, sink, exc)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -41,6 +41,7 @@
 SWEEP_INTERVAL_S = 0.2
 STOP_CHECK_INTERVAL_S = 0.05  # between checks for calls in flight while leaving
 STOP_MARGIN_S = 0.6  # before the platform kills a process that still runs
+LAST_ANSWERS_S = 0.15  # of this margin, for the final answers to reach their callers
 MAX_ADDRESSES = 64  # callers accept no more
 IDLE_BEFORE_STOP_S = 0.3  # without a call, after the last caller may have connected
 
@@ -190,13 +191,17 @@
         """Close the idle connections of callers, and answer what arrived meanwhile.
 
         Kept connections would accept requests up to the end of the process, which then
-        cuts them off.
+        cuts them off. Calls that are still running at `stop_by` get a final answer
+        that tells whether they may have run.
         """
         while True:
             self._call_application.close_idle_connections()
             if not self._call_application.count_unanswered():
                 return
-            if self._clock() >= stop_by:
+            now = self._clock()
+            if now >= stop_by:
+                self._drain.end_calls()
+            if now >= stop_by + LAST_ANSWERS_S:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         unanswered = self._call_application.count_unanswered()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -184,3 +184,57 @@
         await stopping
 
     in_fleet(check, *servers, grace_s=5.0)
+
+
+def test_calls_at_the_end_of_the_grace_get_a_final_answer(in_fleet):
+    """They were cut with no answer when the process ended."""
+    server = stand.Server('a', stand.hang)
+
+    async def check(fleet):
+        paths = '/read/1', '/chat/2', '/book/3'
+        calls = [asyncio.create_task(fleet.call(path)) for path in paths]
+        await fleet.until(lambda: len(server.seen) == len(paths))
+        await fleet.entry.stop()
+        replies = await asyncio.wait_for(asyncio.gather(*calls), 0.1)
+        _assert_equal([reply.status for reply in replies], [502] * len(paths))
+        told = [json.loads(reply.body)['verdict'] for reply in replies]
+        _assert_equal(told, ['may_have_run'] * len(paths))
+
+    in_fleet(check, server, grace_s=1.5)
+
+
+def test_call_that_waits_at_the_end_of_the_grace_is_refused_unsent(in_fleet):
+    """No server got it, so that another entry may serve it."""
+    server = stand.Server('a', stand.hang)
+
+    async def check(fleet):
+        fleet.store.put('servers/i-a', server.record(slots=1, sequence=2))
+        await fleet.until(
+            lambda: fleet.entry.backends.get_by_id('i-a').record.slots == 1
+        )
+        first = asyncio.create_task(fleet.call('/read/1'))
+        await fleet.until(lambda: server.seen)
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.6)
+        second = asyncio.create_task(fleet.call('/read/2'))
+        await stopping
+        _assert_refused_unsent(await asyncio.wait_for(second, 0.1))
+        _assert_equal((await asyncio.wait_for(first, 0.1)).status, 502)
+        _assert_equal(len(server.seen), 1)
+
+    in_fleet(check, server, grace_s=1.5)
+
+
+def test_stream_cut_at_the_end_of_the_grace_does_not_look_complete(in_fleet):
+    """Its caller has to see that events are missing."""
+    server = stand.Server('a', stand.stream(100, pause_s=0.1))
+
+    async def check(fleet):
+        call = asyncio.create_task(fleet.call('/chat/1'))
+        await fleet.until(lambda: server.seen)
+        await fleet.entry.stop()
+        reply = await asyncio.wait_for(call, 0.1)
+        _assert_equal((reply.status, reply.whole), (200, False))
+        assert reply.body.startswith(stand.event(1))
+
+    in_fleet(check, server, grace_s=1.5)
