Planned stop: waiting calls that cannot be sent any more are refused at once

What callers saw: a booking that waited for a server as a stop began was held until it got one, and only refused then, though another entry could have taken it at once. Cause: calls were checked when they were sent, not while they waited.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -83,6 +83,13 @@
         finally:
             self._running.pop(limit)
 
+    def end_unsent_calls(self) -> None:
+        """Refuse the waiting calls that can no longer be answered in time."""
+        now = asyncio.get_running_loop().time()
+        for limit, call in self._running.items():
+            if not call.tried and not self.admits(call, call.deadline_at - now):
+                _expire(limit, now)
+
     def end_calls(self) -> None:
         """Give every call its final answer."""
         now = asyncio.get_running_loop().time()
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -173,6 +173,7 @@
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
         while self._clock() < stop_by:
+            self._drain.end_unsent_calls()
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
             now = self._clock()
             if self._call_application.count_unanswered():
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -114,6 +114,28 @@
     in_fleet(check, server, grace_s=2.5)
 
 
+def test_booking_that_waits_as_a_stop_begins_is_refused_unsent(in_fleet):
+    """It was taken before the signal, and got a server after it."""
+    server = stand.Server('a', _make_pausing_script(0.5, stand.answer()))
+
+    async def check(fleet):
+        fleet.store.put('servers/i-a', server.record(slots=1, sequence=2))
+        await fleet.until(
+            lambda: fleet.entry.backends.get_by_id('i-a').record.slots == 1
+        )
+        first = asyncio.create_task(fleet.call('/read/1'))
+        await fleet.until(lambda: server.seen)
+        second = asyncio.create_task(fleet.call('/book/2'))
+        await asyncio.sleep(0.1)
+        stopping = _begin_stop(fleet)
+        _assert_refused_unsent(await asyncio.wait_for(second, 0.3))
+        _assert_equal((await first).status, 200)
+        await stopping
+        _assert_equal(len(server.seen), 1)
+
+    in_fleet(check, server, grace_s=2.5)
+
+
 def test_request_whose_body_comes_late_in_a_stop_is_refused_unsent(in_fleet):
     """Its head came while callers were still expected; its limit counts from there."""
     server = stand.Server('a')
