Planned stop: a request that is still being read at the end of the grace is refused

What callers saw: a request whose body had not arrived whole when the grace ended was cut with no answer. Cause: only complete requests have a call, and with it a final answer. Change: such a request gets 503, not_run and a short Retry-After, and its connection is closed; it can never run. Evidence: the test named still_being_read had no answer when the stop was over before (TimeoutError), now the refusal, and nothing is sent when the rest of the body comes.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -8,7 +8,7 @@
 from primrosesaddle.calls import refusals, request
 from primrosesaddle.core import verdict
 
-__all__ = ('Drain',)
+__all__ = ('Drain', 'make_refusal')
 
 LEAVING = 'leaving'  # the reason that callers get
 LEAVING_RETRY_S = 0.1  # another entry takes the call at once
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -52,6 +52,12 @@
             if made.is_awaited:
                 made.abort()
 
+    def refuse_incomplete_requests(self, refusal: verdict.Refusal) -> None:
+        """Refuse the requests that have begun to arrive and are not complete."""
+        for made in list(self._requests.values()):
+            if made.is_incomplete:
+                made.refuse(refusal)
+
     def count_unanswered(self) -> int:
         """Return the number of requests that have begun to arrive, not yet answered."""
         return sum(made.is_unanswered for made in self._requests.values())
@@ -77,6 +83,11 @@
         """Whether the head of the request has not been received."""
         return self._start_line is None
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether the head of the request has been received, but not its whole body."""
+        return self.is_unanswered and self._task is None
+
     @property
     def is_unanswered(self) -> bool:
         """Whether the request has begun to arrive, and has no complete answer."""
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from primrosesaddle.calls import attempts, intake
+from primrosesaddle.core import verdict
 from primrosesaddle.fleet import fleetview, reader
 from primrosesaddle.staging import reconciler, weightcache
 
@@ -23,6 +24,10 @@
     def close_idle_connections(self) -> None:
         """Close the connections on which no request has begun to arrive."""
 
+    @abc.abstractmethod
+    def refuse_incomplete_requests(self, refusal: verdict.Refusal) -> None:
+        """Refuse the requests that have begun to arrive and are not complete."""
+
     @abc.abstractmethod
     def count_unanswered(self) -> int:
         """Return the number of requests that have begun to arrive, not yet answered."""
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -193,7 +193,8 @@
 
         Kept connections would accept requests up to the end of the process, which then
         cuts them off. Calls that are still running at `stop_by` get a final answer
-        that tells whether they may have run.
+        that tells whether they may have run, and requests that are still being read
+        are refused.
         """
         while True:
             self._call_application.close_idle_connections()
@@ -202,6 +203,8 @@
             now = self._clock()
             if now >= stop_by:
                 self._drain.end_calls()
+                refusal = draining.make_refusal()
+                self._call_application.refuse_incomplete_requests(refusal)
             if now >= stop_by + LAST_ANSWERS_S:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -115,7 +115,7 @@
 
 
 def test_booking_that_waits_as_a_stop_begins_is_refused_unsent(in_fleet):
-    """It was taken before the signal, and got a server after it."""
+    """It was taken before the stop, and got a server during it."""
     server = stand.Server('a', _make_pausing_script(0.5, stand.answer()))
 
     async def check(fleet):
@@ -247,6 +247,29 @@
     in_fleet(check, server, grace_s=1.5)
 
 
+def test_request_still_being_read_at_the_end_of_the_grace_is_refused(in_fleet):
+    """Its caller learns that it may go to another entry."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        head = (
+            'POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a1\r\n'
+            f'X-Deadline-Ms: 400\r\nAuthorization: Bearer {stand.KEY}\r\n'
+            'Content-Length: 2\r\n\r\n{'
+        )
+        reader, writer = await fleet.send(head.encode())
+        await asyncio.sleep(0.1)
+        await fleet.entry.stop()
+        reply = await asyncio.wait_for(stand.read_answer(reader), 0.1)
+        _assert_refused_unsent(reply)
+        writer.write(b'}')
+        await asyncio.sleep(0.1)
+        _assert_equal((await reader.read(), server.seen), (b'', []))
+        writer.close()
+
+    in_fleet(check, server, grace_s=1.5)
+
+
 def test_stream_cut_at_the_end_of_the_grace_does_not_look_complete(in_fleet):
     """Its caller has to see that events are missing."""
     server = stand.Server('a', stand.stream(100, pause_s=0.1))
