Planned stop: the process ends only once slow callers have read their answers

What callers saw: a large answer to a caller that reads slowly was cut when the process ended, seconds before the end of the grace. Cause: an answer counted as given when all of it had been handed to the connection, of which a part may still wait in the process. Change: a request counts as unanswered until everything has been written to its connection.

--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -59,8 +59,10 @@
                 made.refuse(refusal)
 
     def count_unanswered(self) -> int:
-        """Return the number of requests that have begun to arrive, not yet answered."""
-        return sum(made.is_unanswered for made in self._requests.values())
+        """Return the number of requests whose answer has not been sent whole."""
+        return sum(
+            made.is_unanswered or made.is_being_sent for made in self._requests.values()
+        )
 
 
 class _CallRequest(httputil.HTTPMessageDelegate):
@@ -93,6 +95,12 @@
         """Whether the request has begun to arrive, and has no complete answer."""
         return not self.is_awaited and not self._ended
 
+    @property
+    def is_being_sent(self) -> bool:
+        """Whether a part of the answer waits for the caller to read what is before."""
+        stream = self._conn.stream
+        return stream is not None and not stream.closed() and stream.writing()
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -30,7 +30,10 @@
 
     @abc.abstractmethod
     def count_unanswered(self) -> int:
-        """Return the number of requests that have begun to arrive, not yet answered."""
+        """Return the number of requests whose answer has not been sent whole.
+
+        Those whose head has not been received do not count.
+        """
 
 
 class Applications(typing.Protocol):
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 from testtools import assertions, matchers
@@ -283,3 +284,32 @@
         assert reply.body.startswith(stand.event(1))
 
     in_fleet(check, server, grace_s=1.5)
+
+
+def test_stop_waits_until_a_slow_caller_has_read_its_answer(in_fleet):
+    """The end of the process would cut off what the caller has not read yet."""
+    body = bytes(7 * 1024 * 1024)
+    server = stand.Server('a', stand.answer(body=body))
+
+    async def check(fleet):
+        host, _, port = fleet.cfg.listen.callers.rpartition(':')
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        sock.sendall(
+            b'POST /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a1\r\n'
+            b'X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n'
+            b'Authorization: Bearer ' + stand.KEY.encode() + b'\r\n\r\n'
+        )
+        await fleet.until(lambda: server.seen)
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(CALLERS_GONE_S + 1.0)
+        _assert_equal(stopping.done(), False)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        reply = await stand.read_answer(reader)
+        _assert_equal((reply.status, reply.body == body), (200, True))
+        writer.close()
+        await stopping
+
+    in_fleet(check, server, grace_s=8.0)
