Planned stop: a second signal leaves no call without an answer

What callers saw: when SIGTERM or SIGINT came twice, every call in flight was cut. Cause: the second signal exited the process from the signal handler. Change: it ends the stop early instead, as the end of the grace does: what was never sent is refused, what was sent gets 502 and may_have_run, and the process ends within some tenths of a second, with status 0. A third signal exits at once. Evidence: the test named second_signal ended with `SystemExit: 1` before; now the booking gets 502 and the process ends.

--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -73,6 +73,9 @@
         await self.kernel.stop()
         await self._mesh.stop()
 
+    def hurry(self) -> None:
+        """Do nothing, as a stop takes little more than `STOP_DELAY_S`."""
+
     def apply_settings(self, cfg: node.Node) -> None:
         """Apply changed settings; only the addresses of seeds take effect."""
         self.cfg = cfg
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -1,6 +1,7 @@
 """The entry process: accepts callers' calls and forwards them to backend servers."""
 
 import asyncio
+import math
 import random
 
 from tornado import httpserver, httputil
@@ -92,6 +93,7 @@
         self.mesh.is_store_reachable = lambda: self._reader.is_store_reachable
         self._servers: list[httpserver.HTTPServer] = []
         self._path_delay_s = 0.0
+        self._stop_by = math.inf
         self._logged_required: dict[str, int] = {}  # by model
         self._origin: weightcache.Origin | None = None
         self._origin_address = ''
@@ -163,16 +165,17 @@
 
         Callers are served on until none should come any more and no call was in
         flight for IDLE_BEFORE_STOP_S, at most until STOP_MARGIN_S before the grace
-        period of the settings ends.
+        period of the settings ends, or until `hurry` is called.
         """
         began = self._clock()
         callers_gone_at = began + DIRECTORY_TTL_S * LATE_CALLERS_FACTOR
         stop_by = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
-        self._drain.start(callers_gone_at, stop_by)
+        self._stop_by = min(stop_by, self._stop_by)
+        self._drain.start(callers_gone_at, self._stop_by)
         self.mesh.announce_leaving()
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
-        while self._clock() < stop_by:
+        while self._clock() < self._stop_by:
             self._drain.end_unsent_calls()
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
             now = self._clock()
@@ -183,16 +186,21 @@
                 break
         for server in self._servers:
             server.stop()
-        await self._finish_last_calls(stop_by)
+        await self._finish_last_calls()
         await self.kernel.stop()
         await self.mesh.stop()
         self._connections.close()
 
-    async def _finish_last_calls(self, stop_by: float) -> None:
+    def hurry(self) -> None:
+        """End a stop early: give the calls in flight their final answers now."""
+        self._stop_by = min(self._clock(), self._stop_by)
+        self._drain.start(self._stop_by, self._stop_by)
+
+    async def _finish_last_calls(self) -> None:
         """Close the idle connections of callers, and answer what arrived meanwhile.
 
         Kept connections would accept requests up to the end of the process, which then
-        cuts them off. Calls that are still running at `stop_by` get a final answer
+        cuts them off. Calls that are still running as the stop ends get a final answer
         that tells whether they may have run, and requests that are still being read
         are refused.
         """
@@ -201,11 +209,11 @@
             if not self._call_application.count_unanswered():
                 return
             now = self._clock()
-            if now >= stop_by:
+            if now >= self._stop_by:
                 self._drain.end_calls()
                 refusal = draining.make_refusal()
                 self._call_application.refuse_incomplete_requests(refusal)
-            if now >= stop_by + LAST_ANSWERS_S:
+            if now >= self._stop_by + LAST_ANSWERS_S:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         unanswered = self._call_application.count_unanswered()
--- a/src/primrosesaddle/process/run.py
+++ b/src/primrosesaddle/process/run.py
@@ -1,6 +1,7 @@
 """The life of one process: start, wait for a signal, stop."""
 
 import asyncio
+import itertools
 import logging
 import signal
 import sys
@@ -23,6 +24,9 @@
     async def stop(self) -> None:
         """Stop gracefully: finish what is in progress, then stop every service."""
 
+    def hurry(self) -> None:
+        """End a stop early: give what is in progress its final answer now."""
+
     def apply_settings(self, cfg: node.Node) -> None:
         """Apply changed settings."""
 
@@ -36,16 +40,28 @@
 
     `read_settings` parses the file at `path`, `make_process` builds the process from
     the result. SIGTERM and SIGINT stop the process gracefully, a second one of them
-    exits at once; SIGHUP reloads the settings. Raises `errors.FaultGroup` when the
-    settings are refused at the start.
+    ends the stop early and a third one exits at once; SIGHUP reloads the settings.
+    Raises `errors.FaultGroup` when the settings are refused at the start.
     """
     cfg = read_settings(path)
     loop = asyncio.get_running_loop()
     logging.getLogger('tornado').setLevel(logging.CRITICAL)
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     stop_event = asyncio.Event()
+    earlier_signals = itertools.count()
+
+    def on_stop_signal() -> None:
+        count = next(earlier_signals)
+        if count == 0:
+            stop_event.set()
+        elif count == 1:
+            journal.warning('process.hurried', name=cfg.name)
+            process.hurry()
+        else:
+            sys.exit(1)
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, _on_stop_signal, stop_event)
+        loop.add_signal_handler(signal_number, on_stop_signal)
     process = make_process(cfg)
     reloader = reload.SettingsReloader(path, read_settings, process.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
@@ -57,10 +73,3 @@
     journal.info('process.leaving', name=cfg.name)
     await process.stop()
     journal.info('process.stopped', name=cfg.name)
-
-
-def _on_stop_signal(stop_event: asyncio.Event) -> None:
-    """Request a graceful stop; on the second signal exit at once."""
-    if stop_event.is_set():
-        sys.exit(1)
-    stop_event.set()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 
 import pytest
@@ -10,6 +12,7 @@
 import platformstand as stand
 from primrosesaddle.calls import draining, request, routes
 from primrosesaddle.core import verdict
+from primrosesaddle.process import run
 
 CALLERS_GONE_S = 3.0  # after a stop began, callers know that the entry leaves
 LEAVING = {'verdict': 'not_run', 'reason': 'leaving'}
@@ -313,3 +316,29 @@
         await stopping
 
     in_fleet(check, server, grace_s=8.0)
+
+
+def test_second_signal_leaves_no_call_without_an_answer(in_fleet, tmp_path):
+    """It ends the stop early, and cut every call before."""
+    server = stand.Server('a', stand.hang)
+    path = tmp_path / 'settings'
+    path.touch()
+
+    async def do_nothing():
+        """Start nothing: the fleet has started the entry."""
+
+    async def check(fleet):
+        fleet.entry.start = do_nothing
+        running = asyncio.create_task(
+            run.run_process(lambda _: fleet.entry, str(path), lambda _: fleet.cfg)
+        )
+        call = asyncio.create_task(fleet.call('/book/1'))
+        await fleet.until(lambda: server.seen)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await fleet.until(lambda: not fleet.entry.ready)
+        os.kill(os.getpid(), signal.SIGTERM)
+        reply = await asyncio.wait_for(call, 0.5)
+        _assert_equal(reply.status, 502)
+        await asyncio.wait_for(running, 1.0)
+
+    in_fleet(check, server, grace_s=8.0)
