Planned stop: time in which the machine was suspended counts

What callers saw: when a machine was suspended during a planned stop, calls were admitted and held beyond the end of the grace, and cut there. Cause: the grace was measured by the event loop's clock, which stands still meanwhile. Change: it is measured by the clock that counts such time; the last answers get their time from when they are given. Evidence: the test named suspended got 504 after the booking's own limit before (`504 != 503`), now the refusal, and the stop ends in time.

--- a/src/primrosesaddle/calls/draining.py
+++ b/src/primrosesaddle/calls/draining.py
@@ -23,7 +23,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         """Create the drain of a process that is not leaving.
 
-        `clock` returns seconds.
+        `clock` returns seconds, and has to count those in which the machine slept.
         """
         self.leaving = False
         self._clock = clock
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -81,7 +81,7 @@
         )
         departures.share_departures(self.mesh, self.backends)
         self._admission = self._make_admission()
-        self._drain = draining.Drain(self._clock)
+        self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
         self._request_intake = intake.RequestIntake(
             self._view, self._forwarder, self._drain
@@ -167,7 +167,7 @@
         flight for IDLE_BEFORE_STOP_S, at most until STOP_MARGIN_S before the grace
         period of the settings ends, or until `hurry` is called.
         """
-        began = self._clock()
+        began = clocks.seconds_since_boot()
         callers_gone_at = began + DIRECTORY_TTL_S * LATE_CALLERS_FACTOR
         stop_by = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
         self._stop_by = min(stop_by, self._stop_by)
@@ -175,10 +175,10 @@
         self.mesh.announce_leaving()
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
-        while self._clock() < self._stop_by:
+        while clocks.seconds_since_boot() < self._stop_by:
             self._drain.end_unsent_calls()
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-            now = self._clock()
+            now = clocks.seconds_since_boot()
             if self._call_application.count_unanswered():
                 idle_since = now
             idle_s = now - max(idle_since, callers_gone_at)
@@ -193,7 +193,7 @@
 
     def hurry(self) -> None:
         """End a stop early: give the calls in flight their final answers now."""
-        self._stop_by = min(self._clock(), self._stop_by)
+        self._stop_by = min(clocks.seconds_since_boot(), self._stop_by)
         self._drain.start(self._stop_by, self._stop_by)
 
     async def _finish_last_calls(self) -> None:
@@ -204,16 +204,18 @@
         that tells whether they may have run, and requests that are still being read
         are refused.
         """
+        wait_until = math.inf
         while True:
             self._call_application.close_idle_connections()
             if not self._call_application.count_unanswered():
                 return
-            now = self._clock()
+            now = clocks.seconds_since_boot()
             if now >= self._stop_by:
                 self._drain.end_calls()
                 refusal = draining.make_refusal()
                 self._call_application.refuse_incomplete_requests(refusal)
-            if now >= self._stop_by + LAST_ANSWERS_S:
+                wait_until = min(wait_until, now + LAST_ANSWERS_S)
+            if now >= wait_until:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         unanswered = self._call_application.count_unanswered()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 import platformstand as stand
 from primrosesaddle.calls import draining, request, routes
-from primrosesaddle.core import verdict
+from primrosesaddle.core import clocks, verdict
 from primrosesaddle.process import run
 
 CALLERS_GONE_S = 3.0  # after a stop began, callers know that the entry leaves
@@ -342,3 +342,24 @@
         await asyncio.wait_for(running, 1.0)
 
     in_fleet(check, server, grace_s=8.0)
+
+
+def test_stop_ends_in_time_after_the_machine_was_suspended(in_fleet, monkeypatch):
+    """The steady clock stands still meanwhile, the grace does not."""
+    server = stand.Server('a', stand.hang)
+    slept_s = [0.0]
+    read = clocks.seconds_since_boot
+    monkeypatch.setattr(clocks, 'seconds_since_boot', lambda: read() + slept_s[0])
+
+    async def check(fleet):
+        call = asyncio.create_task(fleet.call('/read/1'))
+        await fleet.until(lambda: server.seen)
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.2)
+        slept_s[0] = 2.0
+        _assert_refused_unsent(await fleet.call('/book/2', deadline_ms=2000))
+        slept_s[0] = 3.5
+        await asyncio.wait_for(stopping, 0.7)
+        _assert_equal((await asyncio.wait_for(call, 0.1)).status, 502)
+
+    in_fleet(check, server, grace_s=4.0)
