Planned stop: the grace counts from before a pause in which the signal came

What callers saw: when an entry was frozen as the signal came, it took calls and held them until after the platform had killed it. Cause: the grace was counted from the moment at which the process learned of the signal. Change: after a pause, it is counted from the pause's beginning, as the signal may be as old. That may be sooner than needed; what is refused for it is taken by another entry. Evidence: the test named signal_came got 200 for a booking that could outlast the grace before (`200 != 503`), now a refusal, and the stop ends in time.

--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -94,6 +94,7 @@
         self._servers: list[httpserver.HTTPServer] = []
         self._path_delay_s = 0.0
         self._stop_by = math.inf
+        self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
         self._logged_required: dict[str, int] = {}  # by model
         self._origin: weightcache.Origin | None = None
         self._origin_address = ''
@@ -165,11 +166,13 @@
 
         Callers are served on until none should come any more and no call was in
         flight for IDLE_BEFORE_STOP_S, at most until STOP_MARGIN_S before the grace
-        period of the settings ends, or until `hurry` is called.
+        period of the settings ends, or until `hurry` is called. After a pause of the
+        process the signal may have waited as long, and the grace period with it.
         """
         began = clocks.seconds_since_boot()
         callers_gone_at = began + DIRECTORY_TTL_S * LATE_CALLERS_FACTOR
-        stop_by = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
+        signalled_at = self._pauses.earliest_time(began)
+        stop_by = signalled_at + self.cfg.bounds.grace_s - STOP_MARGIN_S
         self._stop_by = min(stop_by, self._stop_by)
         self._drain.start(callers_gone_at, self._stop_by)
         self.mesh.announce_leaving()
@@ -353,7 +356,7 @@
 
     async def _run_sweeps(self) -> None:
         """Remove what expired and detect pauses at intervals, until cancelled."""
-        pauses = pause.PauseDetector(clocks.seconds_since_boot())
+        self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._view.drop_expired_servers()
@@ -362,7 +365,7 @@
                 MAX_PATH_DELAY_S, self.mesh.members.slowest_region_rtt_s()
             )
             self._log_required_versions()
-            if pauses.observe(clocks.seconds_since_boot()):
+            if self._pauses.observe(clocks.seconds_since_boot()):
                 await self.refresh_after_pause()
 
     def _log_required_versions(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 import platformstand as stand
 from primrosesaddle.calls import draining, request, routes
-from primrosesaddle.core import clocks, verdict
+from primrosesaddle.core import clocks, pause, verdict
 from primrosesaddle.process import run
 
 CALLERS_GONE_S = 3.0  # after a stop began, callers know that the entry leaves
@@ -363,3 +363,35 @@
         _assert_equal((await asyncio.wait_for(call, 0.1)).status, 502)
 
     in_fleet(check, server, grace_s=4.0)
+
+
+def test_grace_counts_from_before_a_pause_in_which_the_signal_came(
+    in_fleet, monkeypatch
+):
+    """The process learns of the signal when it runs again, the platform counts on."""
+    server = stand.Server('a')
+    slept_s = [0.0]
+    read = clocks.seconds_since_boot
+    monkeypatch.setattr(clocks, 'seconds_since_boot', lambda: read() + slept_s[0])
+
+    async def check(fleet):
+        slept_s[0] = 3.0
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.1)
+        _assert_refused_unsent(await fleet.call('/book/1', deadline_ms=2000))
+        await asyncio.wait_for(stopping, 1.5)
+        _assert_equal(server.seen, [])
+
+    in_fleet(check, server, grace_s=5.0)
+
+
+def test_signal_noticed_after_a_pause_may_be_as_old_as_the_pause():
+    """The process may first notice that time has passed, and then the signal."""
+    pauses = pause.PauseDetector(100.0)
+    _assert_equal(pauses.observe(101.0), False)
+    _assert_equal(pauses.earliest_time(101.5), 101.5)
+    _assert_equal(pauses.earliest_time(105.0), 101.0)
+    _assert_equal(pauses.observe(105.0), True)
+    _assert_equal(pauses.earliest_time(105.1), 101.0)
+    pauses.observe(105.2)
+    _assert_equal(pauses.earliest_time(105.1 + pause.NOTICE_S), 105.1 + pause.NOTICE_S)
