Tests of a planned stop: limits of routes, an entry without its store

Cause: two cases of the field report that no test stood for: a booking that states no limit or whose route's limit changes during the stop, and an entry that is out of touch as the signal comes. Change: a test for each.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -395,3 +395,44 @@
     _assert_equal(pauses.earliest_time(105.1), 101.0)
     pauses.observe(105.2)
     _assert_equal(pauses.earliest_time(105.1 + pause.NOTICE_S), 105.1 + pause.NOTICE_S)
+
+
+def test_booking_without_a_limit_of_its_own_has_that_of_its_route(in_fleet):
+    """The route's limit changes during the stop, and the newest one decides."""
+    server = stand.Server('a')
+    changed = stand.configuration(2)
+    for route in changed['routes']:
+        route['timeoutMs'] = {'/book/': 300, '/brief/': 5000}.get(route['prefix'], 5000)
+
+    async def check(fleet):
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.1)
+        _assert_refused_unsent(await fleet.call('/book/1', deadline_ms=0))
+        _assert_equal((await fleet.call('/brief/1', deadline_ms=0)).status, 200)
+        fleet.store.put('op/config', changed)
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        _assert_equal((await fleet.call('/book/2', deadline_ms=0)).status, 200)
+        _assert_refused_unsent(await fleet.call('/brief/2', deadline_ms=0))
+        _assert_equal(len(server.seen), 2)
+        await stopping
+
+    in_fleet(check, server, grace_s=2.5)
+
+
+def test_entry_without_its_store_leaves_in_the_same_way(in_fleet):
+    """It may be out of touch as the signal comes."""
+    server = stand.Server('a', _make_pausing_script(0.2, stand.answer()))
+
+    async def check(fleet):
+        fleet.store.down = True
+        early = asyncio.create_task(fleet.call('/book/1'))
+        await fleet.until(lambda: server.seen)
+        stopping = _begin_stop(fleet)
+        await asyncio.sleep(0.1)
+        _assert_refused_unsent(await fleet.call('/book/2'))
+        _assert_equal((await early).status, 200)
+        _assert_equal((await fleet.call('/brief/3')).status, 200)
+        await stopping
+        _assert_equal(len(server.seen), 2)
+
+    in_fleet(check, server, grace_s=2.5)
