--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -11,6 +11,7 @@
     attempts,
     backends,
     budget,
+    draining,
     race,
     refusals,
     request,
@@ -47,6 +48,7 @@
     admission: admission.Admission
     pool: pool.Pool
     retry_budget: budget.RetryBudget
+    drain: draining.Drain
     wire: attempts.WireFormat
     metrics: metrics.Metrics
     rand: random.Random
@@ -74,7 +76,7 @@
         """
         self.in_flight += 1
         try:
-            async with asyncio.timeout_at(call.deadline_at):
+            async with self._deps.drain.limit_time(call):
                 await self._forward(call, sink)
         except verdict.Refusal as exc:
             self._send_failure(call, sink, exc)
@@ -140,6 +142,7 @@
         attempt = attempts.Attempt(self._deps.wire, call, choice, self._memory_budget)
         contest.enter(attempt)
         try:
+            self._deps.drain.check_admitted(call)
             return await self._make_attempt(attempt, call, sink, contest)
         finally:
             attempt.release_memory()
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -52,9 +52,17 @@
             if made.is_awaited:
                 made.abort()
 
+    def refuse_incomplete_requests(self, refusal: verdict.Refusal) -> None:
+        """Refuse the requests that have begun to arrive and are not complete."""
+        for made in list(self._requests.values()):
+            if made.is_incomplete:
+                made.refuse(refusal)
+
     def count_unanswered(self) -> int:
-        """Return the number of requests that have begun to arrive, not yet answered."""
-        return sum(made.is_unanswered for made in self._requests.values())
+        """Return the number of requests whose answer has not been sent whole."""
+        return sum(
+            made.is_unanswered or made.is_being_sent for made in self._requests.values()
+        )
 
 
 class _CallRequest(httputil.HTTPMessageDelegate):
@@ -77,11 +85,22 @@
         """Whether the head of the request has not been received."""
         return self._start_line is None
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether the head of the request has been received, but not its whole body."""
+        return self.is_unanswered and self._task is None
+
     @property
     def is_unanswered(self) -> bool:
         """Whether the request has begun to arrive, and has no complete answer."""
         return not self.is_awaited and not self._ended
 
+    @property
+    def is_being_sent(self) -> bool:
+        """Whether a part of the answer waits for the caller to read what is before."""
+        stream = self._conn.stream
+        return stream is not None and not stream.closed() and stream.writing()
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -1,6 +1,7 @@
 """The entry process: accepts callers' calls and forwards them to backend servers."""
 
 import asyncio
+import math
 import random
 
 from tornado import httpserver, httputil
@@ -9,6 +10,7 @@
     admission,
     backends,
     budget,
+    draining,
     forwarding,
     intake,
     placement,
@@ -40,6 +42,7 @@
 SWEEP_INTERVAL_S = 0.2
 STOP_CHECK_INTERVAL_S = 0.05  # between checks for calls in flight while leaving
 STOP_MARGIN_S = 0.6  # before the platform kills a process that still runs
+LAST_ANSWERS_S = 0.15  # of this margin, for the final answers to reach their callers
 MAX_ADDRESSES = 64  # callers accept no more
 IDLE_BEFORE_STOP_S = 0.3  # without a call, after the last caller may have connected
 
@@ -78,8 +81,11 @@
         )
         departures.share_departures(self.mesh, self.backends)
         self._admission = self._make_admission()
+        self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
-        self._request_intake = intake.RequestIntake(self._view, self._forwarder)
+        self._request_intake = intake.RequestIntake(
+            self._view, self._forwarder, self._drain
+        )
         self._call_application = platform.applications.make_call_application(
             self._request_intake
         )
@@ -87,6 +93,8 @@
         self.mesh.is_store_reachable = lambda: self._reader.is_store_reachable
         self._servers: list[httpserver.HTTPServer] = []
         self._path_delay_s = 0.0
+        self._stop_by = math.inf
+        self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
         self._logged_required: dict[str, int] = {}  # by model
         self._origin: weightcache.Origin | None = None
         self._origin_address = ''
@@ -158,40 +166,59 @@
 
         Callers are served on until none should come any more and no call was in
         flight for IDLE_BEFORE_STOP_S, at most until STOP_MARGIN_S before the grace
-        period of the settings ends.
+        period of the settings ends, or until `hurry` is called. After a pause of the
+        process the signal may have waited as long, and the grace period with it.
         """
-        began = self._clock()
+        began = clocks.seconds_since_boot()
         callers_gone_at = began + DIRECTORY_TTL_S * LATE_CALLERS_FACTOR
-        stop_by = began + self.cfg.bounds.grace_s - STOP_MARGIN_S
-        self._request_intake.start_draining(callers_gone_at, stop_by)
+        signalled_at = self._pauses.earliest_time(began)
+        stop_by = signalled_at + self.cfg.bounds.grace_s - STOP_MARGIN_S
+        self._stop_by = min(stop_by, self._stop_by)
+        self._drain.start(callers_gone_at, self._stop_by)
         self.mesh.announce_leaving()
         journal.info('entry.leaving', in_flight=self._request_intake.in_flight)
         idle_since = began
-        while self._clock() < stop_by:
+        while clocks.seconds_since_boot() < self._stop_by:
+            self._drain.end_unsent_calls()
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+            now = clocks.seconds_since_boot()
             if self._call_application.count_unanswered():
-                idle_since = self._clock()
-            idle_s = self._clock() - max(idle_since, callers_gone_at)
+                idle_since = now
+            idle_s = now - max(idle_since, callers_gone_at)
             if idle_s > IDLE_BEFORE_STOP_S:
                 break
         for server in self._servers:
             server.stop()
-        await self._finish_last_calls(stop_by)
+        await self._finish_last_calls()
         await self.kernel.stop()
         await self.mesh.stop()
         self._connections.close()
 
-    async def _finish_last_calls(self, stop_by: float) -> None:
+    def hurry(self) -> None:
+        """End a stop early: give the calls in flight their final answers now."""
+        self._stop_by = min(clocks.seconds_since_boot(), self._stop_by)
+        self._drain.start(self._stop_by, self._stop_by)
+
+    async def _finish_last_calls(self) -> None:
         """Close the idle connections of callers, and answer what arrived meanwhile.
 
         Kept connections would accept requests up to the end of the process, which then
-        cuts them off.
+        cuts them off. Calls that are still running as the stop ends get a final answer
+        that tells whether they may have run, and requests that are still being read
+        are refused.
         """
+        wait_until = math.inf
         while True:
             self._call_application.close_idle_connections()
             if not self._call_application.count_unanswered():
                 return
-            if self._clock() >= stop_by:
+            now = clocks.seconds_since_boot()
+            if now >= self._stop_by:
+                self._drain.end_calls()
+                refusal = draining.make_refusal()
+                self._call_application.refuse_incomplete_requests(refusal)
+                wait_until = min(wait_until, now + LAST_ANSWERS_S)
+            if now >= wait_until:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         unanswered = self._call_application.count_unanswered()
@@ -275,6 +302,7 @@
                 self._admission,
                 self._connections,
                 repeat_budget,
+                self._drain,
                 self._platform.wire,
                 self._metrics,
                 self._rand,
@@ -328,7 +356,7 @@
 
     async def _run_sweeps(self) -> None:
         """Remove what expired and detect pauses at intervals, until cancelled."""
-        pauses = pause.PauseDetector(clocks.seconds_since_boot())
+        self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._view.drop_expired_servers()
@@ -337,7 +365,7 @@
                 MAX_PATH_DELAY_S, self.mesh.members.slowest_region_rtt_s()
             )
             self._log_required_versions()
-            if pauses.observe(clocks.seconds_since_boot()):
+            if self._pauses.observe(clocks.seconds_since_boot()):
                 await self.refresh_after_pause()
 
     def _log_required_versions(self) -> None:
