Silent attempts: a retry counts when it is sent, one for each report

Callers of other calls were refused for want of retries while calls at silent servers found no free slot.

Cause: a retry was claimed before a server was found, and the end of an attempt that found none started the next at once, as the first one was still silent. A further attempt is now started only when a silence is reported anew, and every retry is claimed as it is sent.

--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -119,9 +119,11 @@
     ) -> bool:
         """Return whether an attempt is made beside those that are all silent."""
         return (
-            contest.is_silent
+            contest.has_new_silence
+            and contest.is_silent
             and call.can_send_again(self._clock())
-            and self._deps.retry_budget.claim_retry(service.name)
+            and len(call.refused_by) <= MAX_REFUSALS
+            and self._deps.retry_budget.has_retry(service.name)
         )
 
     async def _run_attempt(
@@ -172,19 +174,10 @@
             self._log_attempt(attempt, call, 'withdrawn')
             return False
         attempt.conn = conn
-        service_name = backend.record.service
-        if call.tried:
-            journal.info('call.repeated', id=call.call_id, server=backend.server_id)
-        else:
-            self._deps.retry_budget.record_first_send(service_name)
-        call.tried.append(backend.server_id)
-        on_head = self._make_head_hook(attempt, service_name)
+        on_head = self._make_head_hook(attempt, backend.record.service)
         hooks: attempts.ResponseHooks = (on_head, attempt.on_body)
         if call.route.kind is routes.RouteKind.STREAM:
-            hooks = (
-                on_head,
-                self._make_stream_hook(attempt, call, sink, contest),
-            )
+            hooks = on_head, self._make_stream_hook(attempt, call, sink, contest)
         exchange = upstream.Exchange(
             conn,
             *hooks,
@@ -194,26 +187,55 @@
         )
         self.watcher.add(attempt)
         try:
-            exchange.send_request(
-                call.method,
-                call.target,
-                self._build_headers(attempt, call),
-                call.body,
-            )
-            ending = await exchange.read_answer()
-            attempt.record_ending(ending, exchange.failure)
+            ending = await self._exchange(attempt, call, exchange)
         except asyncio.CancelledError:
             conn.close()
             if attempt.silent:
                 backend.record_outcome(failed=True)
                 self._log_attempt(attempt, call, 'overtaken')
             raise
+        except verdict.Refusal:
+            self._release_connection(backend, conn)
+            raise
         finally:
             self.watcher.discard(attempt)
         if ending is upstream.Ending.COMPLETE:
             self._release_connection(backend, conn)
         return self._finish_attempt(attempt, call, sink, contest)
 
+    async def _exchange(
+        self, attempt: attempts.Attempt, call: request.Call, exchange: upstream.Exchange
+    ) -> upstream.Ending:
+        """Send the request of an attempt, and read its answer."""
+        backend = attempt.choice.backend
+        self._count_send(call, backend)
+        call.tried.append(backend.server_id)
+        exchange.send_request(
+            call.method, call.target, self._build_headers(attempt, call), call.body
+        )
+        ending = await exchange.read_answer()
+        attempt.record_ending(ending, exchange.failure)
+        return ending
+
+    def _count_send(self, call: request.Call, backend: backends.Backend) -> None:
+        """Count a send in the retry budget.
+
+        Raises `verdict.Refusal` if it is a retry, and the budget is used up.
+        """
+        service_name = backend.record.service
+        if call.tried:
+            if not self._deps.retry_budget.claim_retry(service_name):
+                self._raise_no_budget(call, service_name)
+            journal.info('call.repeated', id=call.call_id, server=backend.server_id)
+        else:
+            self._deps.retry_budget.record_first_send(service_name)
+
+    def _raise_no_budget(
+        self, call: request.Call, service_name: str
+    ) -> typing.NoReturn:
+        journal.info('call.no_budget', id=call.call_id, service=service_name)
+        raise refusals.refuse_exhausted_call(call)
+
     def _can_go_elsewhere(self, attempt: attempts.Attempt) -> bool:
         """Return whether a server that was not tried, and the budget, allow a retry."""
         name = attempt.choice.backend.record.service
@@ -445,9 +467,8 @@
         allowed = call.can_send_again(self._clock()) if was_sent else True
         if len(call.refused_by) > MAX_REFUSALS or not allowed:
             raise refusals.refuse_exhausted_call(call)
-        if was_sent and not self._deps.retry_budget.claim_retry(service.name):
-            journal.info('call.no_budget', id=call.call_id, service=service.name)
-            raise refusals.refuse_exhausted_call(call)
+        if was_sent and not self._deps.retry_budget.has_retry(service.name):
+            self._raise_no_budget(call, service.name)
 
     def _send_failure(
         self, call: request.Call, sink: attempts.AnswerSink, refusal: verdict.Refusal
--- a/src/primrosesaddle/calls/race.py
+++ b/src/primrosesaddle/calls/race.py
@@ -20,6 +20,7 @@
     """The running attempts of a call.
 
     `refusal` is why the attempt that ended last got no server, None if it got one.
+    `has_new_silence` tells whether a server fell silent while this was last waited for.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,7 @@
         self._loop = asyncio.get_running_loop()
         self._silence: 'asyncio.Future[None]' = self._loop.create_future()
         self.refusal: verdict.Refusal | None = None
+        self.has_new_silence = False
 
     @property
     def is_running(self) -> bool:
@@ -78,7 +80,8 @@
         """
         waiting: list[asyncio.Future[typing.Any]] = [self._silence, *self._attempts]
         await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        if self._silence.done():
+        self.has_new_silence = self._silence.done()
+        if self.has_new_silence:
             self._silence = self._loop.create_future()
         ended = [task for task in self._attempts if task.done()]
         return any([self._finish(task) for task in ended])
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -143,3 +143,30 @@
         _assert_equal((reply.status, reply.whole), (200, True))
 
     in_fleet(check, *servers)
+
+
+@pytest.mark.parametrize('count', [3, 4])
+def test_silent_calls_leave_retries_to_others_if_no_slot_is_free(in_fleet, count):
+    """A retry that is not sent must not count against the budget of all calls."""
+    servers = [stand.Server('a'), stand.Server('b')]
+
+    async def script(seen):
+        if '/read/' in seen.line:
+            await _answer_late(seen)
+            return
+        await asyncio.sleep(3.0)
+        await stand.send(seen, 200, b'done')
+
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        retries = fleet.entry._forwarder._deps.retry_budget
+        calls = [asyncio.create_task(fleet.call('/read/1')) for _ in range(count)]
+        await asyncio.sleep(0.1)
+        calls += [asyncio.create_task(fleet.call('/book/1')) for _ in range(8 - count)]
+        replies = await asyncio.gather(*calls)
+        _assert_equal([reply.status for reply in replies], [200] * 8)
+        _assert_equal(retries.has_retry('engines'), True)
+
+    in_fleet(check, *servers)
