Silent attempts: a fault of one attempt spares the other

A caller's stream was cut off in the middle though its server, silent for a while, went on: the further attempt had ended with an exception, which ended the call. An exception is now logged (attempt.fault) and counts as the end of its own attempt; it is raised only if no other one is left, and never after an answer.

--- a/src/primrosesaddle/calls/race.py
+++ b/src/primrosesaddle/calls/race.py
@@ -10,6 +10,7 @@
 
 from primrosesaddle.calls import attempts
 from primrosesaddle.core import verdict
+from primrosesaddle.telemetry import journal
 
 __all__ = ('Race',)
 
@@ -31,6 +32,7 @@
         self._silence: 'asyncio.Future[None]' = self._loop.create_future()
         self.refusal: verdict.Refusal | None = None
         self.has_new_silence = False
+        self._fault: BaseException | None = None
 
     @property
     def is_running(self) -> bool:
@@ -75,8 +77,8 @@
     async def wait(self) -> bool:
         """Wait until an attempt has ended or fallen silent.
 
-        Return whether the call is answered. An exception of an attempt is raised,
-        except for a refusal, which is kept.
+        Return whether the call is answered. Raises an exception of an attempt if no
+        other attempt is left; a refusal is kept instead.
         """
         waiting: list[asyncio.Future[typing.Any]] = [self._silence, *self._attempts]
         await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
@@ -84,13 +86,18 @@
         if self.has_new_silence:
             self._silence = self._loop.create_future()
         ended = [task for task in self._attempts if task.done()]
-        return any([self._finish(task) for task in ended])
+        is_answered = any([self._finish(task) for task in ended])
+        if self._fault is None or is_answered or self._attempts:
+            return is_answered
+        raise self._fault
 
     async def cancel(self) -> None:
         """End all attempts."""
         for task in self._attempts:
             task.cancel()
         await asyncio.gather(*self._attempts, return_exceptions=True)
+        for ended in list(self._attempts):
+            self._finish(ended)
 
     def _record_silence(self) -> None:
         if not self._silence.done():
@@ -102,9 +109,11 @@
             self._winner = None
         if task.cancelled():
             return False
-        self.refusal = None
-        try:
+        exc = task.exception()
+        self.refusal = exc if isinstance(exc, verdict.Refusal) else None
+        if exc is None:
             return task.result()
-        except verdict.Refusal as exc:
-            self.refusal = exc
-            return False
+        if self.refusal is None:
+            journal.error('attempt.fault', error=repr(exc))
+            self._fault = exc
+        return False
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -170,3 +170,24 @@
         _assert_equal(retries.has_retry('engines'), True)
 
     in_fleet(check, *servers)
+
+
+def test_fault_of_one_attempt_spares_the_other(in_fleet):
+    """The silent server goes on though the further attempt ends with an exception."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _pausing_stream(1.5), stand.hang)
+
+    async def check(fleet):
+        forwarder = fleet.entry._forwarder
+        connect = forwarder._connect
+
+        async def fail_at_the_second_server(attempt, call):
+            if call.tried:
+                raise RuntimeError('fault')
+            return await connect(attempt, call)
+
+        forwarder._connect = fail_at_the_second_server
+        reply = await fleet.call('/chat/1')
+        _assert_equal((reply.body, reply.whole), (EVENTS, True))
+
+    in_fleet(check, *servers)
