Answers: one that was sent as the time limit passed is not cut off

A caller's connection was closed, and its call logged a second time as broken off, if the time limit passed between the end of a stream and the end of its task. An answered call gets no failure any more. Found in review; the test of the time limit failed before (the connection was at its end) and passes now.

--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -444,6 +444,7 @@
             if body:
                 sink.write(body)
         sink.finish_answer()
+        call.is_answered = True
         self._log_call(
             call, 'answered', head.status, server=attempt.choice.backend.server_id
         )
@@ -476,8 +477,11 @@
         """Give a call its final answer when no server has answered it.
 
         A refusal that promises that the call did not run is replaced when it may
-        have run in an earlier attempt.
+        have run in an earlier attempt. Nothing is sent if the time limit has passed
+        just after the answer.
         """
+        if call.is_answered:
+            return
         if call.worst_verdict is not verdict.Verdict.NOT_RUN and refusal.retryable:
             refusal = refusals.refuse_unanswered_call(refusal.reason)
         if call.answer_started:
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -30,7 +30,8 @@
     `tried` and `refused_by` list the ids of servers. `version` is the version of the
     model at the server chosen last, `required_version` the lowest one that was
     allowed then. `answer_started` is set once a part of a stream has been sent to
-    the caller, `stream_type` is the media type that was stated with it.
+    the caller, `stream_type` is the media type that was stated with it. `is_answered`
+    is set once an answer of a server has been sent as a whole.
     """
 
     call_id: str
@@ -58,6 +59,7 @@
     required_version: int = 0
     answer_started: bool = False
     stream_type: str = ''
+    is_answered: bool = False
 
     @property
     def objective_at(self) -> float:
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,6 +1,7 @@
 """Servers that fall silent for a while and go on, played against an entry."""
 
 import asyncio
+import time
 
 import pytest
 from testtools import assertions, matchers
@@ -191,3 +192,25 @@
         _assert_equal((reply.body, reply.whole), (EVENTS, True))
 
     in_fleet(check, *servers)
+
+
+def test_connection_stays_open_if_the_time_limit_passes_just_after_the_answer(in_fleet):
+    """The caller keeps it for its next request."""
+    server = stand.Server('a', stand.stream(3))
+
+    async def check(fleet):
+        forwarder = fleet.entry._forwarder
+        send_answer = forwarder._send_answer
+
+        def send_at_the_limit(attempt, call, sink):
+            send_answer(attempt, call, sink)
+            time.sleep(max(0.0, call.deadline_at - forwarder._clock()) + 0.01)
+
+        forwarder._send_answer = send_at_the_limit
+        reader, writer = await fleet.open('/chat/1', deadline_ms=600)
+        _assert_equal((await stand.read_answer(reader)).whole, True)
+        await asyncio.sleep(0.2)
+        _assert_equal(reader.at_eof(), False)
+        writer.close()
+
+    in_fleet(check, server)
