Calls that end with a fault get an answer

Callers whose request had been read completely saw their connection closed with neither an answer nor a refusal, when the task of their call ended with an exception; the connection to the server stayed open.

Such a call now gets 502, may_have_run, unless its answer has begun, which is broken off; call.fault names its id, and the connection to the server is closed. Reading the headers is a part of the task, so that a fault there has a log line as well.

--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -197,6 +197,9 @@
         except verdict.Refusal:
             self._release_connection(backend, conn)
             raise
+        except Exception:
+            conn.close()
+            raise
         finally:
             self.watcher.discard(attempt)
         if ending is upstream.Ending.COMPLETE:
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -8,7 +8,7 @@
 import msgspec
 from tornado import httputil, iostream
 
-from primrosesaddle.calls import attempts, intake
+from primrosesaddle.calls import attempts, intake, refusals
 from primrosesaddle.core import futures, verdict
 from primrosesaddle.platform import names
 from primrosesaddle.process import adapter
@@ -78,6 +78,7 @@
         self._headers = httputil.HTTPHeaders()
         self._arrived_at = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._is_head_sent = False
         self._ended = False
 
     @property
@@ -119,9 +120,8 @@
     def finish(self) -> None:
         """Serve the request, which is now complete."""
         self._conn.set_close_callback(self._on_connection_closed)
-        serve = self._request_intake.serve(self._make_incoming_request(), self)
-        self._task = asyncio.get_running_loop().create_task(serve)
-        self._task.add_done_callback(self._abort_on_failure)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+        self._task.add_done_callback(self._answer_fault)
 
     def on_connection_close(self) -> None:
         """Drop a request whose connection was closed while it was read."""
@@ -189,9 +189,12 @@
         if self._request_intake.leaving:
             headers['Connection'] = 'close'
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason or 'Status')
-        self._conn.write_headers(line, headers).add_done_callback(
-            futures.retrieve_exception
-        )
+        fut = self._conn.write_headers(line, headers)
+        self._is_head_sent = True
+        fut.add_done_callback(futures.retrieve_exception)
+
+    async def _serve(self) -> None:
+        await self._request_intake.serve(self._make_incoming_request(), self)
 
     def _make_incoming_request(self) -> intake.IncomingRequest:
         line = typing.cast(httputil.RequestStartLine, self._start_line)
@@ -226,14 +229,22 @@
         if self._task is not None:
             self._task.cancel()
 
-    def _abort_on_failure(self, task: 'asyncio.Task[None]') -> None:
-        """Log an exception that ended the request's task, and abort the answer."""
+    def _answer_fault(self, task: 'asyncio.Task[None]') -> None:
+        """Log an exception that ended the request's task, and end the answer.
+
+        The caller gets a failure if nothing has been sent yet.
+        """
         if task.cancelled():
             return
         exc = task.exception()
-        if exc is not None:
-            journal.error('call.fault', error=repr(exc))
+        if exc is None:
+            return
+        call_id = self._headers.get(names.ATTEMPT_ID_HEADER, '')
+        journal.error('call.fault', id=call_id, error=repr(exc))
+        if self._is_head_sent:
             self.abort()
+        else:
+            self.refuse(refusals.refuse_unanswered_call('fault'))
 
 
 class JsonApplication(httputil.HTTPServerConnectionDelegate):
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -620,3 +620,20 @@
         await leaving
 
     in_fleet(check, server)
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/read/1', '/book/1'])
+def test_call_that_ends_with_a_fault_gets_an_answer(in_fleet, path):
+    """Its caller must not be left with a closed connection, nor its server with one."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        def fail(*args):
+            raise RuntimeError('fault')
+
+        fleet.entry._forwarder._build_headers = fail
+        reply = await fleet.call(path)
+        _assert_equal((reply.status, reply.whole), (502, True))
+        await fleet.until(lambda: server.closed == server.connections)
+
+    in_fleet(check, server)
