Workspaces whose names are beyond Latin letters are served

After a change of the configuration that gave a workspace such a name, each of its requests ended with a closed connection: the header that names the workspace could not be encoded (UnicodeEncodeError in call.fault). It is sent as UTF-8 now.

--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -39,7 +39,9 @@
     headers.append((names.DEADLINE_MS_HEADER, str(remaining_ms)))
     headers.append((names.EXPECT_INSTANCE_HEADER, choice.backend.server_id))
     if call.workspace:
-        headers.append((names.TENANT_HEADER, call.workspace))
+        # Header lines are sent as Latin-1; names of workspaces are UTF-8.
+        workspace = call.workspace.encode().decode('latin1')
+        headers.append((names.TENANT_HEADER, workspace))
     if call.model:
         headers.append((names.PRIORITY_HEADER, str(call.rank)))
     if choice.chain:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -637,3 +637,19 @@
         await fleet.until(lambda: server.closed == server.connections)
 
     in_fleet(check, server)
+
+
+@pytest.mark.parametrize('path', ['/chat/1', '/read/1', '/book/1'])
+def test_workspace_with_a_name_beyond_latin_letters_is_served(in_fleet, path):
+    """A new configuration may name it, and its calls go on."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        tenants = [{'name': 'Łódź', 'apiKeys': [stand.KEY], 'priority': 1}]
+        fleet.store.put('op/config', stand.configuration(2, tenants=tenants))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        _assert_equal((await fleet.call(path)).status, 200)
+        stated = server.seen[0].headers['x-tenant']
+        _assert_equal(stated, 'Łódź')
+
+    in_fleet(check, server)
