Silence: a caller that reads slowly does not make its server silent

A caller that read nothing for 2.5 s had its stream sent to a second server, which took a retry from others and a slot: while nothing is written to the caller, nothing is received from the server, and the watcher took that for silence of the server. It now leaves out attempts whose last part waits for the caller. Found in review; the test failed before (two servers had the call) and passes now.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -147,6 +147,7 @@
         self._reservation = memory.Reservation(memory_budget, MAX_BUFFERED_BYTES)
         self.splitter = events.EventSplitter(call.resume_from, memory_budget)
         self._has_known_length = False
+        self._unwritten: 'asyncio.Future[None] | None' = None
 
     def record_progress(self) -> None:
         """Record that the server continues its answer."""
@@ -207,6 +208,24 @@
             and not self.splitter.is_between_events
         )
 
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether the caller has not read yet what was sent last."""
+        return self._unwritten is not None and not self._unwritten.done()
+
+    def track_write(
+        self, written: Awaitable[None] | None
+    ) -> 'asyncio.Future[None] | None':
+        """Count no silence until a part of the answer has been written to the caller.
+
+        Nothing more is received from the server until then.
+        """
+        if written is None:
+            return None
+        self._unwritten = asyncio.ensure_future(written)
+        self._unwritten.add_done_callback(lambda _: self.record_progress())
+        return self._unwritten
+
     def release_memory(self) -> None:
         """Discard an incomplete event, and release what is reserved."""
         self.splitter.reset()
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -346,7 +346,7 @@
             call.resume_from = attempt.splitter.last_id
             call.version = attempt.choice.version
             self._start_stream(attempt, call, sink)
-            return sink.write(complete)
+            return attempt.track_write(sink.write(complete))
 
         return on_body
 
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -66,6 +66,8 @@
             if attempt.choice.is_older_than(min_version):
                 attempt.abort_outdated(min_version)
                 return
+        if attempt.waits_for_caller:
+            return
         now = self._clock()
         if not call.route.repeatable or not call.can_send_again(now):
             return
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -214,3 +214,34 @@
         writer.close()
 
     in_fleet(check, server)
+
+
+def _make_large_event(number):
+    return f'id: {number}\ndata: '.encode() + b'x' * 60_000 + b'\n\n'
+
+
+def test_caller_that_reads_slowly_does_not_make_its_server_silent(in_fleet):
+    """Nothing is received from the server while the caller reads nothing."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    parts = [_make_large_event(number) for number in range(1, 301)]
+
+    async def script(seen):
+        await stand.stream(0, is_ended=False)(seen)
+        for part in (*parts, b''):
+            seen.writer.write(f'{len(part):x}\r\n'.encode() + part + b'\r\n')
+            await seen.writer.drain()
+
+    for server in servers:
+        server.script = script
+
+    async def check(fleet):
+        reader, writer = await fleet.open('/chat/1')
+        writer.transport.pause_reading()
+        await asyncio.sleep(2.5)
+        writer.transport.resume_reading()
+        reply = await stand.read_answer(reader)
+        _assert_equal((reply.body == b''.join(parts), reply.whole), (True, True))
+        _assert_equal(sum(len(server.seen) for server in servers), 1)
+        writer.close()
+
+    in_fleet(check, *servers)
