Silent attempts: only one that was overtaken counts as failed

A server that was silent as its caller left was rated as failing, and got fewer calls. Only an attempt that another one has overtaken counts against its server now.

--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -190,7 +190,7 @@
             ending = await self._exchange(attempt, call, exchange)
         except asyncio.CancelledError:
             conn.close()
-            if attempt.silent:
+            if contest.is_lost_by(attempt):
                 backend.record_outcome(failed=True)
                 self._log_attempt(attempt, call, 'overtaken')
             raise
--- a/src/primrosesaddle/calls/race.py
+++ b/src/primrosesaddle/calls/race.py
@@ -74,6 +74,10 @@
                     task.cancel()
         return self._winner is attempt
 
+    def is_lost_by(self, attempt: attempts.Attempt) -> bool:
+        """Return whether another attempt continues the answer."""
+        return self._winner not in {None, attempt}
+
     async def wait(self) -> bool:
         """Wait until an attempt has ended or fallen silent.
 
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -245,3 +245,19 @@
         writer.close()
 
     in_fleet(check, *servers)
+
+
+def test_caller_that_leaves_does_not_count_against_a_silent_server(in_fleet):
+    """No other server has continued the answer."""
+    servers = [stand.Server('a'), stand.Server('b')]
+    _silent_first(servers, _pausing_stream(30.0), stand.hang)
+
+    async def check(fleet):
+        _, writer = await fleet.open('/chat/1')
+        await asyncio.sleep(1.6)
+        writer.close()
+        await fleet.until(lambda: not _count_calls(fleet))
+        known = fleet.entry.backends.list_servers('engines')
+        _assert_equal({backend.failure_share for backend in known}, {0.0})
+
+    in_fleet(check, *servers)
