Crash history: evidence apart from blocks

Cause: one class held the facts, the search for a part that explains them and the blocks. Change: calls/evidence.py has the first two; the interface of calls/crashes.py stays.

--- /dev/null
+++ b/src/primrosesaddle/calls/evidence.py
@@ -0,0 +1,346 @@
+"""Evidence: which parts of prompts explain that servers ended.
+
+A part that crashes servers is in each of its crashes and is never answered completely.
+The other parts of its calls are shared with calls that are answered, and each of those
+answers clears them of the crashes before it. Times are in seconds of a steady clock.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Collection, Iterable, Mapping
+
+import xxhash
+
+from primrosesaddle.calls import notices
+
+__all__ = ('Evidence', 'Explanation')
+
+WINDOW_S = 600.0  # older crashes are forgotten
+# Servers that end within this of each other have a cause in common that is no call,
+# such as a power loss. The bound on the sum keeps crashes by frequent calls apart.
+MOMENT_GAP_S = 0.2
+MAX_MOMENT_S = 0.4
+MIN_MOMENTS = 3  # with uncleared crashes, until a part is accused
+# For a part that was answered before, and for parts that occurred only together.
+MIN_MOMENTS_IN_DOUBT = 5
+MIN_SERVERS = 2  # a single server that ends again and again is at fault itself
+
+MAX_CRASHES = 256
+MAX_PARTS = 64  # of a crash
+# Parts whose last complete answer is known, the newest of them.
+MAX_CLEARED = 4096  # with crashes that peers may report again
+MAX_ANSWERED = 4096  # others
+
+NEVER = float('-inf')
+
+Incarnations = set[notices.Incarnation]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownCrash:
+    """The parts of calls that a server had just begun to answer when it ended."""
+
+    parts: frozenset[str]
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """The parts that explain the known crashes.
+
+    The `accused` are in enough of them; for the `suspects`, more have to be seen.
+    """
+
+    accused: tuple[str, ...] = ()
+    suspects: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Weight:
+    """How strongly the crashes that have no other explanation speak against a part."""
+
+    moments: int
+    never_answered: bool
+    crash_count: int
+    server_count: int
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the part may be accused."""
+        needed = MIN_MOMENTS if self.never_answered else MIN_MOMENTS_IN_DOUBT
+        return self.moments >= needed and self.server_count >= MIN_SERVERS
+
+    @property
+    def is_enough_in_doubt(self) -> bool:
+        """Whether the part may be accused together with others."""
+        return self.never_answered and self.moments >= MIN_MOMENTS_IN_DOUBT
+
+    @property
+    def accusation(self) -> tuple[bool, int, int]:
+        """The order among parts that may be accused.
+
+        A part that was answered before comes last, as it is also in the crashes of
+        other parts.
+        """
+        return (self.never_answered, self.moments, self.crash_count)
+
+    @property
+    def suspicion(self) -> tuple[int, bool, int]:
+        """The order among other parts."""
+        return (self.moments, self.never_answered, self.crash_count)
+
+
+class Evidence:
+    """The crashes and complete answers that are known, both of bounded number."""
+
+    def __init__(self) -> None:
+        """Create an empty collection."""
+        self.crashes: dict[notices.Incarnation, KnownCrash] = {}
+        self.cleared_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
+        self._uncleared: dict[str, Incarnations] = {}
+
+    def add_crash(
+        self, incarnation: notices.Incarnation, parts: Collection[str], at: float
+    ) -> bool:
+        """Add parts to a crash, and return whether the crash is changed by that.
+
+        The earliest time of a crash is kept, as reports take time.
+        """
+        known = self.crashes.get(incarnation)
+        if known is None:
+            if not parts or not self._make_room(at):
+                return False
+            known = KnownCrash(frozenset(), at)
+        crash = KnownCrash(
+            _bound_parts(incarnation, known.parts.union(parts)), min(known.at, at)
+        )
+        if crash == known:
+            return False
+        for left_out in known.parts - crash.parts:
+            self._discard_uncleared(left_out, incarnation)
+        self.crashes[incarnation] = crash
+        for part in crash.parts:
+            self.keep_answer(part)
+            if self.get_answered_at(part) > crash.at:
+                self._discard_uncleared(part, incarnation)
+            else:
+                self._uncleared.setdefault(part, set()).add(incarnation)
+        return True
+
+    def add_answer(self, part: str, at: float) -> Incarnations:
+        """Add a complete answer, and return the crashes of which it clears a part."""
+        if at <= self.get_answered_at(part):
+            return set()
+        if part in self.cleared_at or part in self._uncleared:
+            self._put_cleared(part, at)
+        else:
+            self._answered_at.pop(part, None)
+            self._answered_at[part] = at
+            _drop_oldest(self._answered_at, MAX_ANSWERED)
+        cleared = self.find_cleared(part, at)
+        for incarnation in cleared:
+            self._discard_uncleared(part, incarnation)
+        return cleared
+
+    def find_cleared(self, part: str, at: float) -> Incarnations:
+        """Return the crashes of which an answer at `at` would clear a part."""
+        crashes = self._uncleared.get(part, ())
+        return {each for each in crashes if at > self.crashes[each].at}
+
+    def get_answered_at(self, part: str) -> float:
+        """Return when a part was last answered completely, `NEVER` if never."""
+        cleared_at = self.cleared_at.get(part)
+        if cleared_at is None:
+            return self._answered_at.get(part, NEVER)
+        return cleared_at
+
+    def get_uncleared(self, part: str) -> Incarnations:
+        """Return the crashes of a part that no later answer has cleared."""
+        return self._uncleared.get(part, set())
+
+    def keep_answer(self, part: str) -> None:
+        """Keep the last answer of a part among those that matter to peers."""
+        answered_at = self._answered_at.pop(part, None)
+        if answered_at is not None:
+            self._put_cleared(part, answered_at)
+
+    def forget_old(self, now: float) -> bool:
+        """Forget what is older than the window; return whether crashes were."""
+        old = [
+            incarnation
+            for incarnation, crash in self.crashes.items()
+            if crash.at <= now - WINDOW_S
+        ]
+        for incarnation in old:
+            self._drop_crash(incarnation)
+        self._forget_old_answers(now)
+        return bool(old)
+
+    def explain(self, already_accused: Iterable[str]) -> Explanation:
+        """Find the parts that explain the crashes of which none is accused already.
+
+        The part in most crashes comes first. Its crashes are taken out, so that the
+        other parts of its calls are not accused with it.
+        """
+        explained: Incarnations = set()
+        for part in already_accused:
+            explained |= self.get_uncleared(part)
+        moments = group_moments(self.crashes)
+        candidates = [
+            part
+            for part, crashes in self._uncleared.items()
+            if len(crashes) >= MIN_MOMENTS
+        ]
+        accused: list[str] = []
+        suspects: set[str] = set()
+        while candidates:
+            weights = {
+                part: self._weigh(part, explained, moments) for part in candidates
+            }
+            candidates = [part for part in candidates if weights[part].is_enough]
+            tied = self._list_heaviest(candidates, weights, explained)
+            if len(tied) == 1 or (tied and weights[tied[0]].is_enough_in_doubt):
+                accused.extend(tied)
+            else:
+                suspects.update(tied)
+            explained.update(*(self._uncleared[part] for part in tied))
+        suspects.update(self._list_suspects(explained, moments))
+        return Explanation(tuple(accused), frozenset(suspects))
+
+    def _make_room(self, at: float) -> bool:
+        """Return whether a new crash is kept, dropping the oldest one if necessary."""
+        if len(self.crashes) < MAX_CRASHES:
+            return True
+        oldest = sort_by_time(self.crashes, self.crashes)[0]
+        if self.crashes[oldest].at >= at:
+            return False
+        self._drop_crash(oldest)
+        return True
+
+    def _drop_crash(self, incarnation: notices.Incarnation) -> None:
+        for part in self.crashes.pop(incarnation).parts:
+            self._discard_uncleared(part, incarnation)
+
+    def _discard_uncleared(self, part: str, incarnation: notices.Incarnation) -> None:
+        crashes = self._uncleared.get(part, set())
+        crashes.discard(incarnation)
+        if not crashes:
+            self._uncleared.pop(part, None)
+
+    def _put_cleared(self, part: str, at: float) -> None:
+        self._answered_at.pop(part, None)
+        self.cleared_at.pop(part, None)
+        self.cleared_at[part] = at
+        _drop_oldest(self.cleared_at, MAX_CLEARED)
+
+    def _forget_old_answers(self, now: float) -> None:
+        """Keep no longer for peers what can clear no crash that they may report."""
+        old = {part for part, at in self.cleared_at.items() if at <= now - WINDOW_S}
+        if old:
+            old.difference_update(*(crash.parts for crash in self.crashes.values()))
+        for part in old:
+            self._answered_at[part] = self.cleared_at.pop(part)
+        _drop_oldest(self._answered_at, MAX_ANSWERED)
+
+    def _weigh(
+        self,
+        part: str,
+        explained: Incarnations,
+        moments: Mapping[notices.Incarnation, int],
+    ) -> _Weight:
+        crashes = self._uncleared[part] - explained
+        return _Weight(
+            len({moments[each] for each in crashes}),
+            self.get_answered_at(part) == NEVER,
+            len(crashes),
+            len({server_id for server_id, _ in crashes}),
+        )
+
+    def _list_heaviest(
+        self,
+        candidates: Iterable[str],
+        weights: Mapping[str, _Weight],
+        explained: Incarnations,
+    ) -> list[str]:
+        """Return the part to be accused first, and those that share its crashes."""
+        ranked = sorted((weights[part].accusation, part) for part in candidates)
+        if not ranked:
+            return []
+        heaviest, first = ranked[-1]
+        crashes = self._uncleared[first] - explained
+        return [
+            part
+            for rank, part in ranked
+            if rank == heaviest and not crashes.isdisjoint(self._uncleared[part])
+        ]
+
+    def _list_suspects(
+        self,
+        explained: Incarnations,
+        moments: Mapping[notices.Incarnation, int],
+    ) -> set[str]:
+        """Return the parts that best explain the crashes that are not explained."""
+        by_suspicion = collections.defaultdict(list)
+        for part, crashes in self._uncleared.items():
+            if not crashes <= explained:
+                weight = self._weigh(part, explained, moments)
+                by_suspicion[weight.suspicion].append(part)
+        remaining = set(explained)
+        suspects: set[str] = set()
+        for suspicion in sorted(by_suspicion, reverse=True):
+            found = [
+                part
+                for part in by_suspicion[suspicion]
+                if not self._uncleared[part] <= remaining
+            ]
+            remaining.update(*(self._uncleared[part] for part in found))
+            suspects.update(found)
+        return suspects
+
+
+def sort_by_time(
+    incarnations: Iterable[notices.Incarnation],
+    crashes: Mapping[notices.Incarnation, KnownCrash],
+) -> list[notices.Incarnation]:
+    """Return the servers in the order in which they ended."""
+    return sorted(incarnations, key=lambda each: (crashes[each].at, each))
+
+
+def group_moments(
+    crashes: Mapping[notices.Incarnation, KnownCrash],
+) -> dict[notices.Incarnation, int]:
+    """Number the moments at which servers ended."""
+    moments: dict[notices.Incarnation, int] = {}
+    number = 0
+    began_at = last_at = NEVER
+    for incarnation in sort_by_time(crashes, crashes):
+        at = crashes[incarnation].at
+        if at - last_at > MOMENT_GAP_S or at - began_at > MAX_MOMENT_S:
+            number += 1
+            began_at = at
+        last_at = at
+        moments[incarnation] = number
+    return moments
+
+
+def _bound_parts(
+    incarnation: notices.Incarnation, parts: frozenset[str]
+) -> frozenset[str]:
+    """Return at most `MAX_PARTS` parts, the same ones in whatever order they came.
+
+    Each crash keeps others, so that no part is left out of all.
+    """
+    if len(parts) <= MAX_PARTS:
+        return parts
+    seed = xxhash.xxh64_intdigest(repr(incarnation).encode())
+    ranked = sorted(
+        (xxhash.xxh64_intdigest(each.encode(), seed), each) for each in parts
+    )
+    return frozenset(part for _, part in ranked[:MAX_PARTS])
+
+
+def _drop_oldest(times: dict[str, float], max_size: int) -> None:
+    """Keep the newest of a mapping in the order of insertion."""
+    while len(times) > max_size:
+        times.pop(next(iter(times)))
