Crash history: parts answered before, crashes of one moment, and late evidence

Change: a moment counts up to twice, a part that was answered lately is not accused, and blocks are reviewed as evidence comes in.

--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -151,10 +151,8 @@
         self._owns_trial = owns_trial
         self._evidence = evidence.Evidence()
         self._blocks: dict[str, _KnownBlock] = {}
-        self._suspects: frozenset[str] = frozenset()
-        # Crashes of blocked parts, about whose other parts nothing has to be decided.
-        self._explained: evidence.Incarnations = set()
-        self._is_outdated = False
+        self._undecided: frozenset[str] = frozenset()
+        self._suspects: frozenset[str] | None = None  # None until asked for
 
     def record_crash(
         self,
@@ -213,9 +211,32 @@
         """Return whether a call with these parts may have ended its server.
 
         That is so if one of them is blocked or has a crash since its last complete
-        answer, unless another part is in more crashes and explains this one.
+        answer, unless another part is in more crashes and explains this one. A part
+        that was answered before is suspected from its second crash.
         """
-        return any(part in self._suspects or part in self._blocks for part in parts)
+        if self._suspects is None:
+            accused = self._undecided.union(self._blocks)
+            self._suspects = accused | self._evidence.list_suspects(accused)
+            self._log_suspects(self._suspects.difference(self._blocks))
+        return any(part in self._suspects for part in parts)
+
+    def export_crash(self, incarnation: notices.Incarnation) -> Facts:
+        """Return a crash, and when its parts were last answered, for other entries.
+
+        A part that was answered before is not easily taken for the cause of a crash.
+        """
+        crash = self._evidence.crashes.get(incarnation)
+        if crash is None:
+            return Facts()
+        now = self._clock()
+        parts = tuple(sorted(crash.parts))
+        answers = ((part, self._evidence.get_answered_at(part)) for part in parts)
+        return Facts(
+            (Crash(incarnation, parts, now - crash.at),),
+            tuple(
+                Clearance(part, now - at) for part, at in answers if at > evidence.NEVER
+            ),
+        )
 
     def export(self) -> Facts:
         """Return all facts that other entries may need, of bounded size."""
@@ -267,7 +288,6 @@
         before = self._evidence.crashes.get(told.incarnation)
         if not self._evidence.add_crash(told.incarnation, told.parts, at):
             return False
-        self._is_outdated = True
         after = self._evidence.crashes[told.incarnation]
         for block in self._blocks.values():
             if block.incarnation == told.incarnation:
@@ -293,15 +313,15 @@
     def _add_answer(self, part: str, at: float, source: str) -> bool:
         """Add a complete answer, and return whether it clears anything."""
         cleared = self._evidence.add_answer(part, at)
-        if not cleared <= self._explained:
-            self._is_outdated = True
+        if cleared:
+            self._suspects = None
         if not self._clears_block(part, at):
             return bool(cleared)
         self._evidence.keep_answer(part)
         block = self._blocks.pop(part)
         block.source = source
         _log('part.cleared', part, block, self._clock())
-        self._is_outdated = True
+        self._evidence.is_changed = True
         return True
 
     def _add_block(self, report: BlockReport, source: str) -> bool:
@@ -321,7 +341,7 @@
             told.tried_at = now - max(report.trial_age_s, 0.0)
         if now > told.lapses_at + MAX_BLOCK_S:
             return False
-        self._is_outdated = True
+        self._evidence.is_changed = True
         known = self._blocks.get(report.part)
         if known is None:
             self._block(report.part, told)
@@ -339,31 +359,45 @@
 
     def _forget_block(self, part: str) -> None:
         _log('part.forgotten', part, self._blocks.pop(part), self._clock())
-        self._is_outdated = True
 
     def _forget_old(self, now: float) -> None:
-        if self._evidence.forget_old(now):
-            self._is_outdated = True
+        self._evidence.forget_old(now)
         for part, block in list(self._blocks.items()):
             if now > block.lapses_at + MAX_BLOCK_S:
                 self._forget_block(part)
 
     def _decide(self, source: str) -> None:
-        """Block the parts that explain crashes; suspect those that may do so."""
-        if not self._is_outdated:
+        """Block the parts that explain crashes."""
+        if not self._evidence.is_changed:
             return
+        self._suspects = None
         self._forget_old(self._clock())
         for part, block in self._blocks.items():
             self._count_later_crashes(part, block, source)
-        explanation = self._evidence.explain(self._blocks)
+        kept = {part for part in self._blocks if not self._is_reviewed(part)}
+        explanation = self._evidence.explain(kept)
+        self._undecided = explanation.undecided
         for accused in explanation.accused:
-            self._block(accused, self._make_block(accused, source))
-        self._log_suspects(explanation.suspects - self._suspects, source)
-        self._suspects = explanation.suspects
-        self._explained = set().union(
-            *(self._evidence.get_uncleared(part) for part in self._blocks)
-        )
-        self._is_outdated = False
+            if accused not in self._blocks:
+                self._block(accused, self._make_block(accused, source))
+        self._withdraw_explained(kept.union(explanation.accused))
+
+    def _is_reviewed(self, part: str) -> bool:
+        """Return whether a block rests on crashes that are all known here."""
+        block = self._blocks[part]
+        uncleared = self._evidence.get_uncleared(part)
+        return not block.lapses and len(uncleared) >= block.crash_count
+
+    def _withdraw_explained(self, accused: set[str]) -> None:
+        """Withdraw blocks on parts whose crashes are all explained by other parts.
+
+        The calls with the part that crashes servers may be those of another entry, and
+        be known later than the calls that were at the server with them.
+        """
+        explained = self._evidence.list_uncleared(accused)
+        for part in list(self._blocks):
+            if part not in accused and self._evidence.get_uncleared(part) <= explained:
+                _log('part.cleared', part, self._blocks.pop(part), self._clock())
 
     def _count_later_crashes(self, part: str, block: _KnownBlock, source: str) -> None:
         crashes = self._evidence.crashes
@@ -383,10 +417,10 @@
         newest = evidence.sort_by_time(uncleared, crashes)[-1]
         return _KnownBlock(len(uncleared), newest, crashes[newest].at, 0, source)
 
-    def _log_suspects(self, suspects: Iterable[str], source: str) -> None:
+    def _log_suspects(self, suspects: Iterable[str]) -> None:
         now = self._clock()
         for part in sorted(suspects):
-            block = self._make_block(part, source)
+            block = self._make_block(part, 'own')
             log = journal.debug if block.crash_count == 1 else journal.info
             _log('part.suspected', part, block, now, log)
 
--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -20,9 +20,16 @@
 # such as a power loss. The bound on the sum keeps crashes by frequent calls apart.
 MOMENT_GAP_S = 0.2
 MAX_MOMENT_S = 0.4
-MIN_MOMENTS = 3  # with uncleared crashes, until a part is accused
+MIN_CRASHES = 3  # that no answer has cleared, until a part is accused
 # For a part that was answered before, and for parts that occurred only together.
-MIN_MOMENTS_IN_DOUBT = 5
+MIN_CRASHES_IN_DOUBT = 5
+# A part is not accused of crashes up to this long after its last answer: when most
+# servers are down, nothing with it may be answered for some seconds.
+ANSWER_HOLDS_S = 30.0
+MIN_MOMENTS = 2  # so that servers that end at one moment accuse nobody
+# That count, of one moment. A part that was answered before may be in all of them, such
+# as the first part of all prompts of a workspace: for it, a moment counts once.
+MAX_CRASHES_OF_MOMENT = 2
 MIN_SERVERS = 2  # a single server that ends again and again is at fault itself
 
 MAX_CRASHES = 256
@@ -48,32 +55,44 @@
 class Explanation:
     """The parts that explain the known crashes.
 
-    The `accused` are in enough of them; for the `suspects`, more have to be seen.
+    The `undecided` ones occurred only together and can't be told apart yet.
     """
 
     accused: tuple[str, ...] = ()
-    suspects: frozenset[str] = frozenset()
+    undecided: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Weight:
     """How strongly the crashes that have no other explanation speak against a part."""
 
-    moments: int
+    counted: int
     never_answered: bool
+    lately_answered: bool
     crash_count: int
+    moment_count: int
     server_count: int
 
     @property
     def is_enough(self) -> bool:
         """Whether the part may be accused."""
-        needed = MIN_MOMENTS if self.never_answered else MIN_MOMENTS_IN_DOUBT
-        return self.moments >= needed and self.server_count >= MIN_SERVERS
+        needed = MIN_CRASHES if self.never_answered else MIN_CRASHES_IN_DOUBT
+        return (
+            not self.lately_answered
+            and self.counted >= needed
+            and self.moment_count >= MIN_MOMENTS
+            and self.server_count >= MIN_SERVERS
+        )
 
     @property
     def is_enough_in_doubt(self) -> bool:
         """Whether the part may be accused together with others."""
-        return self.never_answered and self.moments >= MIN_MOMENTS_IN_DOUBT
+        return self.never_answered and self.counted >= MIN_CRASHES_IN_DOUBT
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether a call with the part may have ended its server."""
+        return self.never_answered or self.counted > 1
 
     @property
     def accusation(self) -> tuple[bool, int, int]:
@@ -82,12 +101,12 @@
         A part that was answered before comes last, as it is also in the crashes of
         other parts.
         """
-        return (self.never_answered, self.moments, self.crash_count)
+        return (self.never_answered, self.counted, self.crash_count)
 
     @property
     def suspicion(self) -> tuple[int, bool, int]:
         """The order among other parts."""
-        return (self.moments, self.never_answered, self.crash_count)
+        return (self.counted, self.never_answered, self.crash_count)
 
 
 class Evidence:
@@ -99,6 +118,8 @@
         self.cleared_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
         self._uncleared: dict[str, Incarnations] = {}
+        # Whether `explain` may return something else than before.
+        self.is_changed = False
 
     def add_crash(
         self, incarnation: notices.Incarnation, parts: Collection[str], at: float
@@ -120,6 +141,7 @@
         for left_out in known.parts - crash.parts:
             self._discard_uncleared(left_out, incarnation)
         self.crashes[incarnation] = crash
+        self.is_changed = True
         for part in crash.parts:
             self.keep_answer(part)
             if self.get_answered_at(part) > crash.at:
@@ -132,6 +154,8 @@
         """Add a complete answer, and return the crashes of which it clears a part."""
         if at <= self.get_answered_at(part):
             return set()
+        if len(self.get_uncleared(part)) >= MIN_CRASHES:
+            self.is_changed = True
         if part in self.cleared_at or part in self._uncleared:
             self._put_cleared(part, at)
         else:
@@ -165,8 +189,8 @@
         if answered_at is not None:
             self._put_cleared(part, answered_at)
 
-    def forget_old(self, now: float) -> bool:
-        """Forget what is older than the window; return whether crashes were."""
+    def forget_old(self, now: float) -> None:
+        """Forget what is older than the window."""
         old = [
             incarnation
             for incarnation, crash in self.crashes.items()
@@ -175,7 +199,6 @@
         for incarnation in old:
             self._drop_crash(incarnation)
         self._forget_old_answers(now)
-        return bool(old)
 
     def explain(self, already_accused: Iterable[str]) -> Explanation:
         """Find the parts that explain the crashes of which none is accused already.
@@ -183,17 +206,16 @@
         The part in most crashes comes first. Its crashes are taken out, so that the
         other parts of its calls are not accused with it.
         """
-        explained: Incarnations = set()
-        for part in already_accused:
-            explained |= self.get_uncleared(part)
+        self.is_changed = False
+        explained = self.list_uncleared(already_accused)
         moments = group_moments(self.crashes)
         candidates = [
             part
             for part, crashes in self._uncleared.items()
-            if len(crashes) >= MIN_MOMENTS
+            if len(crashes) >= MIN_CRASHES
         ]
         accused: list[str] = []
-        suspects: set[str] = set()
+        undecided: set[str] = set()
         while candidates:
             weights = {
                 part: self._weigh(part, explained, moments) for part in candidates
@@ -203,10 +225,36 @@
             if len(tied) == 1 or (tied and weights[tied[0]].is_enough_in_doubt):
                 accused.extend(tied)
             else:
-                suspects.update(tied)
-            explained.update(*(self._uncleared[part] for part in tied))
-        suspects.update(self._list_suspects(explained, moments))
-        return Explanation(tuple(accused), frozenset(suspects))
+                undecided.update(tied)
+            explained |= self.list_uncleared(tied)
+        return Explanation(tuple(accused), frozenset(undecided))
+
+    def list_suspects(self, accused: Iterable[str]) -> frozenset[str]:
+        """Return the parts that best explain the crashes that none accused explains."""
+        explained = self.list_uncleared(accused)
+        moments = group_moments(self.crashes)
+        by_suspicion = collections.defaultdict(list)
+        suspicious: set[str] = set()
+        for part, crashes in self._uncleared.items():
+            if not crashes <= explained:
+                weight = self._weigh(part, explained, moments)
+                by_suspicion[weight.suspicion].append(part)
+                if weight.is_suspicious:
+                    suspicious.add(part)
+        suspects: set[str] = set()
+        for suspicion in sorted(by_suspicion, reverse=True):
+            found = [
+                part
+                for part in by_suspicion[suspicion]
+                if not self._uncleared[part] <= explained
+            ]
+            explained |= self.list_uncleared(found)
+            suspects.update(found)
+        return frozenset(suspects & suspicious)
+
+    def list_uncleared(self, parts: Iterable[str]) -> Incarnations:
+        """Return the crashes of some parts that no later answer has cleared."""
+        return set().union(*(self._uncleared.get(part, ()) for part in parts))
 
     def _make_room(self, at: float) -> bool:
         """Return whether a new crash is kept, dropping the oldest one if necessary."""
@@ -219,6 +267,7 @@
         return True
 
     def _drop_crash(self, incarnation: notices.Incarnation) -> None:
+        self.is_changed = True
         for part in self.crashes.pop(incarnation).parts:
             self._discard_uncleared(part, incarnation)
 
@@ -250,10 +299,17 @@
         moments: Mapping[notices.Incarnation, int],
     ) -> _Weight:
         crashes = self._uncleared[part] - explained
+        by_moment = collections.Counter(moments[each] for each in crashes)
+        answered_at = self.get_answered_at(part)
+        never_answered = answered_at == NEVER
+        max_counted = MAX_CRASHES_OF_MOMENT if never_answered else 1
+        newest_at = max((self.crashes[each].at for each in crashes), default=NEVER)
         return _Weight(
-            len({moments[each] for each in crashes}),
-            self.get_answered_at(part) == NEVER,
+            sum(min(count, max_counted) for count in by_moment.values()),
+            never_answered,
+            not never_answered and answered_at > newest_at - ANSWER_HOLDS_S,
             len(crashes),
+            len(by_moment),
             len({server_id for server_id, _ in crashes}),
         )
 
@@ -275,29 +331,6 @@
             if rank == heaviest and not crashes.isdisjoint(self._uncleared[part])
         ]
 
-    def _list_suspects(
-        self,
-        explained: Incarnations,
-        moments: Mapping[notices.Incarnation, int],
-    ) -> set[str]:
-        """Return the parts that best explain the crashes that are not explained."""
-        by_suspicion = collections.defaultdict(list)
-        for part, crashes in self._uncleared.items():
-            if not crashes <= explained:
-                weight = self._weigh(part, explained, moments)
-                by_suspicion[weight.suspicion].append(part)
-        remaining = set(explained)
-        suspects: set[str] = set()
-        for suspicion in sorted(by_suspicion, reverse=True):
-            found = [
-                part
-                for part in by_suspicion[suspicion]
-                if not self._uncleared[part] <= remaining
-            ]
-            remaining.update(*(self._uncleared[part] for part in found))
-            suspects.update(found)
-        return suspects
-
 
 def sort_by_time(
     incarnations: Iterable[notices.Incarnation],
