--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -308,7 +308,7 @@
 
     def _clears_block(self, part: str, at: float) -> bool:
         block = self._blocks.get(part)
-        return block is not None and at > block.at
+        return block is not None and at > block.at - evidence.ANSWER_HOLDS_S
 
     def _add_answer(self, part: str, at: float, source: str) -> bool:
         """Add a complete answer, and return whether it clears anything."""
@@ -331,7 +331,8 @@
         crash = self._evidence.crashes.get(report.incarnation)
         if crash is not None:
             at = min(at, crash.at)
-        if self._evidence.get_answered_at(report.part) > at:
+        answered_at = self._evidence.get_answered_at(report.part)
+        if answered_at > at - evidence.ANSWER_HOLDS_S:
             self._evidence.keep_answer(report.part)
             return True
         told = _KnownBlock(
--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -16,10 +16,9 @@
 __all__ = ('Evidence', 'Explanation')
 
 WINDOW_S = 600.0  # older crashes are forgotten
-# Servers that end within this of each other have a cause in common that is no call,
-# such as a power loss. The bound on the sum keeps crashes by frequent calls apart.
-MOMENT_GAP_S = 0.2
-MAX_MOMENT_S = 0.4
+# Servers that end within this of the first one may have a cause in common that is no
+# call, such as a power loss. Longer moments would also hold crashes by frequent calls.
+MOMENT_S = 0.2
 MIN_CRASHES = 3  # that no answer has cleared, until a part is accused
 # For a part that was answered before, and for parts that occurred only together.
 MIN_CRASHES_IN_DOUBT = 5
@@ -346,13 +345,12 @@
     """Number the moments at which servers ended."""
     moments: dict[notices.Incarnation, int] = {}
     number = 0
-    began_at = last_at = NEVER
+    began_at = NEVER
     for incarnation in sort_by_time(crashes, crashes):
         at = crashes[incarnation].at
-        if at - last_at > MOMENT_GAP_S or at - began_at > MAX_MOMENT_S:
+        if at - began_at > MOMENT_S:
             number += 1
             began_at = at
-        last_at = at
         moments[incarnation] = number
     return moments
 
--- a/tests/crashstand.py
+++ b/tests/crashstand.py
@@ -270,6 +270,9 @@
 
     def _is_in_touch(self, entry):
         return not any(
+            entry == number and at <= self.now < at + CONTACT_S
+            for at, number in self.shape.restarts
+        ) and not any(
             entry in cut.entries
             and cut.begins_s <= self.now < cut.begins_s + cut.lasts_s + CONTACT_S
             for cut in self.shape.cuts
