Calls know the shared parts of their prompts

X-Prefix-Hash was only passed on. It is now also decoded once: the ids of all parts but the last, which is the request's own, without malformed and repeated ones, and at most 64. The tests of the decoding are new, as is the function.

--- a/src/primrosesaddle/calls/intake.py
+++ b/src/primrosesaddle/calls/intake.py
@@ -30,7 +30,8 @@
     `key` is the bearer key. `arrived_at` is in seconds of the event loop's clock.
     `deadline_s` is the time limit that the caller states, None for none.
     `prompt_tokens` and `answer_tokens` are 0 when they are not stated, and
-    `resume_from` is the id of the last event that the caller has, 0 for none.
+    `resume_from` is the id of the last event that the caller has, 0 for none. `parts`
+    holds the ids of the parts of its prompt that other requests may share.
     """
 
     call_id: str
@@ -46,6 +47,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     resume_from: int = 0
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -181,4 +183,5 @@
         model=incoming.model,
         cost=request.TokenCost(incoming.prompt_tokens, incoming.answer_tokens),
         resume_from=incoming.resume_from,
+        parts=incoming.parts,
     )
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -31,7 +31,8 @@
     model at the server chosen last, `required_version` the lowest one that was
     allowed then. `answer_started` is set once a part of a stream has been sent to
     the caller, `stream_type` is the media type that was stated with it. `is_answered`
-    is set once an answer of a server has been sent as a whole.
+    is set once an answer of a server has been sent as a whole. `parts` holds the ids
+    of the parts of its prompt that other calls may share.
     """
 
     call_id: str
@@ -60,6 +61,7 @@
     answer_started: bool = False
     stream_type: str = ''
     is_answered: bool = False
+    parts: tuple[str, ...] = ()
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import re
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -18,6 +19,8 @@
 
 _MS = 1000.0
 _JSON = 'application/json'
+MAX_PARTS = 64  # parts of a prompt that are read; prompts have a handful
+_PART_ID = re.compile('[0-9a-f]{1,64}')
 
 Answer = tuple[int, bytes]
 IsReady = Callable[[], bool]
@@ -222,6 +225,7 @@
             prompt_tokens=prompt,
             answer_tokens=int(_parse_non_negative(hint)) or answer,
             resume_from=int(_parse_non_negative(resume)),
+            parts=parse_shared_parts(headers.get(names.PROMPT_PARTS_HEADER, '')),
         )
 
     def _on_connection_closed(self) -> None:
@@ -332,6 +336,17 @@
     return handle
 
 
+def parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Parse the ids of the parts of a prompt that other requests may share.
+
+    That is all but the last one. Malformed ids and repeated ones are left out, and
+    those after the first `MAX_PARTS`.
+    """
+    listed = [part for part in text.split(',') if part.strip()][:-1]
+    ids = (part.partition(':')[0].strip().lower() for part in listed[:MAX_PARTS])
+    return tuple(dict.fromkeys(part for part in ids if _PART_ID.fullmatch(part)))
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     """Parse the tokens of prompt and answer, comma-separated; 0 if malformed."""
     prompt, _, answer = text.partition(',')
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -9,6 +9,7 @@
     'LENGTH_HINT_HEADER',
     'SERVER_LOAD_HEADER',
     'NOT_EXECUTED_HEADER',
+    'PROMPT_PARTS_HEADER',
     'RETRY_AFTER_HEADER',
     'SERVER_LEAVING_HEADER',
     'PRIORITY_HEADER',
@@ -40,6 +41,9 @@
 MODEL_HEADER = 'X-Model'
 # Tokens of the prompt and the most tokens of the answer, comma-separated.
 TOKEN_COUNT_HEADER = 'X-Token-Count'
+# The parts of the prompt in order, as comma-separated ID:TOKENS. Despite its name it
+# holds no hash of a prefix. The last part belongs to the request itself.
+PROMPT_PARTS_HEADER = 'X-Prefix-Hash'
 # 0 is the most urgent of 0 to 9.
 PRIORITY_HEADER = 'X-Request-Priority'
 VERSIONS_HEADER = 'X-Weight-Versions'
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,4 +1,4 @@
-"""Prompts of which one part crashes each server that begins to write an answer on it."""
+"""Prompts of which one part crashes every server that begins to write on it."""
 
 import asyncio
 import contextlib
@@ -197,7 +197,7 @@
 
 
 def test_part_that_crashes_servers_stops_reaching_them(in_fleet):
-    """Ten such calls a second, no two alike, each ended a server and its repeat one."""
+    """Ten such calls a second each ended a server, and their repeats another."""
 
     async def check(fleet):
         async with _sufferers(fleet) as load:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,4 +1,4 @@
-"""Request intake: the time that a caller has spent on earlier attempts."""
+"""Request intake: the time that a caller has spent, and the parts of its prompt."""
 
 import asyncio
 import types
@@ -7,6 +7,7 @@
 from testtools import assertions, matchers
 
 from primrosesaddle.calls import intake, routes
+from primrosesaddle.platform import http_applications
 
 TIMEOUT_S = 6.0
 ROUTE = routes.Route(
@@ -83,3 +84,29 @@
 ):
     """After some calls, the stated limits count instead of the route's limit."""
     _assert_equal(measure_spent_s(*[2.0] * intake.MIN_CALLS_OBSERVED)[-1], 0.0)
+
+
+@pytest.mark.parametrize(
+    ('stated', 'shared'),
+    [
+        ('', ()),
+        ('aa:800', ()),
+        ('aa:800,bb:410,cc:250', ('aa', 'bb')),
+        (' AA:800 ,bb, cc:250', ('aa', 'bb')),
+        ('aa:1,bb:2,aa:3,cc:4', ('aa', 'bb')),
+        ('aa:1,bb:2,', ('aa',)),
+        ('zz:1,:2,,a b:3,aa:x:y,' + 'f' * 65 + ':1,cc:4', ('aa',)),
+        (',,,', ()),
+        ('aa:1,' * 9 + 'bb:1', ('aa',)),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_read(stated, shared):
+    """The last part is the request's own, and malformed ones identify nothing."""
+    _assert_equal(http_applications.parse_shared_parts(stated), shared)
+
+
+def test_number_of_parts_read_is_bounded():
+    """A prompt of many parts must not fill the tables that hold their ids."""
+    stated = ','.join(f'{number:x}:1' for number in range(1000))
+    read = http_applications.parse_shared_parts(stated)
+    _assert_equal(len(read), http_applications.MAX_PARTS)
