Calls with a part that crashes servers are no longer sent

Callers saw requests with one part in their prompts end one server after the other, and sound ones cut off with them. Each was sent to any server, and its repeat, as the server had closed the connection, to the next: nobody counted under what servers end.

An entry now checks on a server that closes a connection early in an answer, by a new connection: a refused one shows that its process is gone. The shared parts of all calls that were cut off there early are kept with that crash and told to the other entries, which agree by calls/crashes.py on the part that explains the crashes. A call with a blocked part is answered at once, 503 not_run if it was never sent and 502 if it may have run; one with a part under suspicion is not repeated; one that waits at a server without a first event is withdrawn. Agents keep the facts for entries that all start at the same time. Servers that leave, calls aborted by this side and time-outs count as no crash.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -248,6 +248,18 @@
         if self.on_silence is not None:
             self.on_silence()
 
+    def abort_blocked(self, part: str) -> None:
+        """Close the connection because a part of the call's prompt crashes servers."""
+        self.outdated = True
+        journal.info(
+            'attempt.blocked',
+            id=self.call.call_id,
+            server=self.choice.backend.server_id,
+            part=part,
+        )
+        if self.conn is not None:
+            self.conn.close()
+
     def abort_outdated(self, required_version: int) -> None:
         """Close the connection because the server's version is too old for the call."""
         self.outdated = True
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -249,6 +249,10 @@
             self._rebuild_indexes()
         return True
 
+    def is_leaving(self, incarnation: notices.Incarnation) -> bool:
+        """Return whether a server has said that it is leaving."""
+        return self._notices.is_leaving(incarnation)
+
     def list_leaving(self) -> tuple[notices.Incarnation, ...]:
         """Return the servers that have said that they are leaving."""
         return self._notices.list_leaving()
@@ -299,6 +303,15 @@
         report = backend.get_fresh_report(now)
         return report is None or report.reachable
 
+    def describe_end(self, backend: Backend) -> str:
+        """Return how its agent knows that a server has ended, empty if it does not."""
+        if backend.is_superseded:
+            return 'its agent reports a later start'
+        report = backend.get_fresh_report(self._clock())
+        if report is not None and not report.reachable:
+            return 'its agent does not reach it'
+        return ''
+
     def is_ejected(self, backend: Backend) -> bool:
         """Return whether a server fails far more often than others of its service.
 
--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from primrosesaddle.calls import evidence, notices
 from primrosesaddle.telemetry import journal
@@ -181,18 +181,32 @@
         self._decide(source)
         return told
 
-    def find_block(self, parts: Iterable[str]) -> Block | None:
+    @property
+    def block_count(self) -> int:
+        """The number of blocked parts."""
+        return len(self._blocks)
+
+    def find_block(self, parts: Sequence[str]) -> Block | None:
         """Return the block on one of the parts, None if the call may be sent.
 
         Ask once for each call: when a block has lapsed, the process that owns the trial
         gets None once, and the call that it asked for is the trial.
         """
-        blocked = [part for part in parts if part in self._blocks]
-        if not blocked:
-            return None
+        block = self.get_block(parts)
+        if block is None:
+            now = self._clock()
+            for tried in (part for part in parts if part in self._blocks):
+                self._blocks[tried].tried_at = now
+                _log('part.trial', tried, self._blocks[tried], now)
+        return block
+
+    def get_block(self, parts: Sequence[str]) -> Block | None:
+        """Return what `find_block` would return, without making a call the trial."""
         now = self._clock()
-        for part in blocked:
-            block = self._blocks[part]
+        for part in parts:
+            block = self._blocks.get(part)
+            if block is None:
+                continue
             retry_in_s = block.trial_due_at - now
             if retry_in_s > 0 or not self._owns_trial(part):
                 return Block(
@@ -202,9 +216,6 @@
                     retry_in_s if retry_in_s > 0 else TRIAL_TIMEOUT_S,
                     block.source,
                 )
-        for tried in blocked:
-            self._blocks[tried].tried_at = now
-            _log('part.trial', tried, self._blocks[tried], now)
         return None
 
     def is_suspect(self, parts: Iterable[str]) -> bool:
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -11,6 +11,7 @@
     attempts,
     backends,
     budget,
+    crashwatch,
     draining,
     race,
     refusals,
@@ -54,6 +55,7 @@
     rand: random.Random
     min_version_to_send: Callable[[str], int]
     min_version_to_begin: Callable[[str], int]
+    crash_watch: crashwatch.CrashWatch
 
 
 class Forwarder:
@@ -64,7 +66,10 @@
         self._deps = deps
         self._clock = asyncio.get_running_loop().time
         self.watcher = watcher.AttemptWatcher(
-            deps.min_version_to_begin, self._can_go_elsewhere, self._clock
+            deps.min_version_to_begin,
+            self._can_go_elsewhere,
+            deps.crash_watch.get_block,
+            self._clock,
         )
         self._memory_budget = memory.MemoryBudget(attempts.MAX_TOTAL_BUFFERED_BYTES)
         self.in_flight = 0
@@ -135,8 +140,10 @@
     ) -> bool:
         """Wait for a server, make an attempt there, and return whether it answered.
 
-        Raises `verdict.Refusal` when no server can take the call in time.
+        Raises `verdict.Refusal` when no server can take the call in time, or a part of
+        its prompt is blocked.
         """
+        self._deps.crash_watch.check_may_wait(call)
         call.required_version = self._get_required_version(call)
         choice = await self._deps.admission.acquire_slot(call, service)
         call.placement_summary = choice.describe(self._clock())
@@ -209,8 +216,12 @@
     async def _exchange(
         self, attempt: attempts.Attempt, call: request.Call, exchange: upstream.Exchange
     ) -> upstream.Ending:
-        """Send the request of an attempt, and read its answer."""
+        """Send the request of an attempt, and read its answer.
+
+        Raises `verdict.Refusal` if it is not to be sent.
+        """
         backend = attempt.choice.backend
+        self._deps.crash_watch.check_may_send(call)
         self._count_send(call, backend)
         call.tried.append(backend.server_id)
         exchange.send_request(
@@ -218,6 +229,7 @@
         )
         ending = await exchange.read_answer()
         attempt.record_ending(ending, exchange.failure)
+        self._deps.crash_watch.record_ending(attempt, exchange.ended_by_server)
         return ending
 
     def _count_send(self, call: request.Call, backend: backends.Backend) -> None:
@@ -464,6 +476,7 @@
         """
         if refusal is not None:
             raise refusal
+        self._deps.crash_watch.check_may_repeat(call)
         not_run = call.worst_verdict is verdict.Verdict.NOT_RUN
         if not (not_run or call.route.repeatable):
             raise refusals.refuse_unanswered_call('no_answer')
--- a/src/primrosesaddle/calls/refusals.py
+++ b/src/primrosesaddle/calls/refusals.py
@@ -1,9 +1,10 @@
 """Refusals and failures that an entry answers itself, each with a verdict."""
 
-from primrosesaddle.calls import request, routes
+from primrosesaddle.calls import crashes, request, routes
 from primrosesaddle.core import verdict
 
 __all__ = (
+    'refuse_blocked_call',
     'refuse_exhausted_call',
     'refuse_expired_call',
     'refuse_unanswered_call',
@@ -22,6 +23,14 @@
     return verdict.not_run(f'no_server: {names}', STATUS_UNAVAILABLE, RETRY_AFTER_S)
 
 
+def refuse_blocked_call(block: crashes.Block) -> verdict.Refusal:
+    """Return the refusal of a call with a part that crashes servers."""
+    reason = f'part_crashes_servers: part={block.part} crashes={block.crash_count}'
+    return verdict.not_run(
+        reason, STATUS_UNAVAILABLE, max(RETRY_AFTER_S, block.retry_in_s)
+    )
+
+
 def refuse_unanswered_call(reason: str) -> verdict.Refusal:
     """Return the failure of a call that a server may have run without answering."""
     return verdict.may_have_run(reason, STATUS_BAD_GATEWAY)
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -32,7 +32,9 @@
     allowed then. `answer_started` is set once a part of a stream has been sent to
     the caller, `stream_type` is the media type that was stated with it. `is_answered`
     is set once an answer of a server has been sent as a whole. `parts` holds the ids
-    of the parts of its prompt that other calls may share.
+    of the parts of its prompt that other calls may share. `is_trial` is set when it is
+    to show whether one of them still crashes servers, `was_cut_off` when a server that
+    may have run it closed the connection.
     """
 
     call_id: str
@@ -62,6 +64,8 @@
     stream_type: str = ''
     is_answered: bool = False
     parts: tuple[str, ...] = ()
+    is_trial: bool = False
+    was_cut_off: bool = False
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/calls/watcher.py
+++ b/src/primrosesaddle/calls/watcher.py
@@ -1,9 +1,9 @@
-"""The watcher: reports attempts that are silent, and aborts outdated ones."""
+"""The watcher: reports silent attempts, and aborts outdated and blocked ones."""
 
 import asyncio
 from collections.abc import Callable
 
-from primrosesaddle.calls import attempts, silence
+from primrosesaddle.calls import attempts, crashes, request, silence
 from primrosesaddle.telemetry import journal
 
 __all__ = ('CHECK_INTERVAL_S', 'AttemptWatcher')
@@ -19,16 +19,19 @@
         self,
         min_version_to_begin: Callable[[str], int],
         can_go_elsewhere: Callable[[attempts.Attempt], bool],
+        get_block: Callable[[request.Call], crashes.Block | None],
         clock: Callable[[], float],
     ) -> None:
         """Create a watcher without attempts.
 
         `min_version_to_begin` returns the lowest version of a model on which a call
         that has been sent may still begin. `can_go_elsewhere` returns whether another
-        server may take over the call of an attempt.
+        server may take over the call of an attempt, `get_block` why a call is not to
+        begin at a server.
         """
         self._min_version_to_begin = min_version_to_begin
         self._can_go_elsewhere = can_go_elsewhere
+        self._get_block = get_block
         self._clock = clock
         self._attempts: set[attempts.Attempt] = set()
         self._has_attempts = asyncio.Event()
@@ -57,10 +60,14 @@
                 self._check(attempt)
 
     def _check(self, attempt: attempts.Attempt) -> None:
-        """Abort an attempt that is outdated; report one that is silent for too long."""
+        """Abort an outdated or blocked attempt; report one silent for too long."""
         call = attempt.call
         if attempt.outdated:
             return
+        block = None if attempt.has_body_begun else self._get_block(call)
+        if block is not None:
+            attempt.abort_blocked(block.part)
+            return
         if call.model and not attempt.has_body_begun:
             min_version = self._min_version_to_begin(call.model)
             if attempt.choice.is_older_than(min_version):
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -20,6 +20,8 @@
 
     `is_ready`, `is_store_reachable` and `get_version_ages_s` are set by the owner. They
     give the state sent with heartbeats, and the ages of announced versions by label.
+    The functions in `round_listeners` are called at intervals, so that what processes
+    know spreads also after some have been out of touch.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         self.is_ready: Callable[[], bool] = bool
         self.is_store_reachable: Callable[[], bool] = bool
         self.get_version_ages_s: Callable[[], dict[str, float]] = dict
+        self.round_listeners: list[Callable[[], None]] = []
         self._view = view
         self._rand = rand
         self.members = membertable.MemberTable(
@@ -61,7 +64,7 @@
         self.members.add_candidates(peers.Candidate(address) for address in seeds)
 
     async def run(self) -> None:
-        """Send rosters and version ages to random peers, until cancelled."""
+        """Send what is known to random peers at intervals, until cancelled."""
         while True:
             await asyncio.sleep(ROSTER_INTERVAL_S * self._rand.uniform(0.8, 1.2))
             all_peers = list(self.members.peers.values())
@@ -70,6 +73,8 @@
             entries = self.members.alive_peers('entry')
             if entries:
                 self._send_version_ages(self._rand.choice(entries))
+            for listener in self.round_listeners:
+                listener()
 
     async def stop(self) -> None:
         """Close the links."""
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -298,6 +298,42 @@
     incarnations: tuple[tuple[str, int], ...]
 
 
+class ServerCrash(msgspec.Struct, array_like=True, frozen=True):
+    """A server that ended, by id and start, and parts of prompts that it had begun."""
+
+    server_id: str
+    start_time_ms: int
+    parts: tuple[str, ...]
+    age_s: float
+
+
+class BlockedPart(msgspec.Struct, array_like=True, frozen=True):
+    """A part of prompts that is not sent, and the newest crash under it.
+
+    `lapses` counts the crashes after the block had lapsed. `trial_age_s` is set while a
+    call that is to show whether it still crashes servers has no outcome.
+    """
+
+    part: str
+    crash_count: int
+    server_id: str
+    start_time_ms: int
+    age_s: float
+    lapses: int
+    trial_age_s: float | None = None
+
+
+class CrashFacts(msgspec.Struct, tag=28, array_like=True, frozen=True):
+    """What the sender knows of crashes of servers and of parts that are blocked.
+
+    `cleared_s` maps parts to the seconds since a call with them was answered.
+    """
+
+    crashes: tuple[ServerCrash, ...] = ()
+    cleared_s: dict[str, float] = {}
+    blocks: tuple[BlockedPart, ...] = ()
+
+
 Body = (
     Hello
     | Heartbeat
@@ -326,6 +362,7 @@
     | Goal
     | VersionAges
     | LeavingServers
+    | CrashFacts
 )
 
 
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -17,6 +17,7 @@
     'Exchange',
     'Head',
     'InvalidAnswer',
+    'Refused',
     'Unreachable',
     'dial',
 )
@@ -41,6 +42,10 @@
     """A connection could not be opened, so nothing was sent."""
 
 
+class Refused(Unreachable):
+    """The host refused a connection, as no process listens at the address."""
+
+
 class Ending(enum.Enum):
     """How the answer of an exchange ended."""
 
@@ -155,7 +160,8 @@
     `on_head` and `on_body` are called while the answer is received; `on_body` may raise
     `InvalidAnswer`, and its result is awaited before more is received. `is_own_answer`
     tells from the headers whether an answer belongs to this request and not to an
-    earlier one. `failure` says why an answer is incomplete.
+    earlier one. `failure` says why an answer is incomplete. `ended_by_server` is
+    whether the answer, complete or not, ended as the server closed the connection.
     """
 
     def __init__(
@@ -184,6 +190,7 @@
         self._ends_at_close = False
         self._is_complete = False
         self.failure = ''
+        self.ended_by_server = False
 
     def send_request(
         self, method: str, target: str, headers: Pairs, body: bytes
@@ -228,6 +235,9 @@
         """End the exchange, unless it has ended, because the connection was closed."""
         if self._ended.done():
             return
+        # Other errors, such as a time-out, come from this side or from the path.
+        is_close = error is None or isinstance(error, ConnectionError)
+        self.ended_by_server = is_close and not self._conn.closed_locally
         # An answer that ends with the connection is complete if the server closed it.
         is_end = self._ends_at_close and self._in_body and not self._is_stray
         if is_end and error is None and not self._conn.closed_locally:
@@ -344,7 +354,7 @@
 async def dial(address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> Connection:
     """Open a connection to an IP:PORT address.
 
-    Raises `Unreachable` if it cannot be opened in time.
+    Raises `Unreachable` if it cannot be opened in time, `Refused` if nothing listens.
     """
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -356,6 +366,9 @@
         _, conn = await loop.create_connection(
             lambda: Connection(address, sock), sock=sock
         )
+    except ConnectionError as exc:
+        sock.close()
+        raise Refused(f'{address}: {exc!r}') from None
     except _UNREACHABLE as exc:
         sock.close()
         raise Unreachable(f'{address}: {exc!r}') from None
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 
+from primrosesaddle.calls import crashes
 from primrosesaddle.core import clocks, kernel
 from primrosesaddle.fleet import mesh, node
 from primrosesaddle.membership import link, peers, wire
-from primrosesaddle.process import adapter, listeners
+from primrosesaddle.process import adapter, crashreports, listeners
 from primrosesaddle.staging import pieces, piecesources, reconciler, weightcache
 from primrosesaddle.telemetry import metrics
 
@@ -56,6 +57,10 @@
             )
             self._mesh.get_version_ages_s = self._reconciler.get_known_ages_s
         self._mesh.message_dispatcher.register(wire.Goal, self._on_goal)
+        # Agents keep what entries know of crashes, in case all entries are restarted.
+        crashreports.share_crashes(
+            self._mesh, crashes.CrashHistory(self._clock, lambda part: False), rand
+        )
         self._metrics.gauge('origin_bytes', lambda: weight_cache.origin_bytes)
         self._metrics.gauge('peer_bytes', lambda: weight_cache.peer_bytes)
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -10,17 +10,19 @@
     admission,
     backends,
     budget,
+    crashes,
+    crashwatch,
     draining,
     forwarding,
     intake,
     placement,
     routes,
 )
-from primrosesaddle.core import clocks, kernel, layers, pause
+from primrosesaddle.core import clocks, kernel, layers, pause, rendezvous
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, departures, goals, listeners
+from primrosesaddle.process import adapter, crashreports, departures, goals, listeners
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -80,6 +82,7 @@
             lambda backend: self._connections.close_idle(backend.server_id)
         )
         departures.share_departures(self.mesh, self.backends)
+        self._crash_watch = self._make_crash_watch()
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
@@ -308,9 +311,32 @@
                 self._rand,
                 self._required_version,
                 lambda model: self._required_version(model, BEGIN_MARGIN_S),
+                self._crash_watch,
             )
         )
 
+    def _make_crash_watch(self) -> crashwatch.CrashWatch:
+        history = crashes.CrashHistory(self._clock, self._owns_trial)
+        watch = crashwatch.CrashWatch(
+            history,
+            self.backends,
+            self._connections,
+            self._metrics,
+            self._clock,
+            self.kernel.spawn,
+        )
+        reports = crashreports.share_crashes(self.mesh, history, self._rand)
+        watch.crash_listeners.append(reports.send_crash)
+        watch.answer_listeners.append(reports.send_cleared)
+        return watch
+
+    def _owns_trial(self, part: str) -> bool:
+        """Return whether this entry is the one that tries a part of prompts again."""
+        names = [peer.card.name for peer in self.mesh.ready_entries()]
+        if self.ready:
+            names.append(self.cfg.name)
+        return rendezvous.select_owner(part, names) == self.cfg.name
+
     def _list_origin_readers(self) -> list[piecesources.Peer]:
         """Return the entries that read pieces from the origin, with this one last."""
         readers = [
