--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -58,9 +58,8 @@
             self._mesh.get_version_ages_s = self._reconciler.get_known_ages_s
         self._mesh.message_dispatcher.register(wire.Goal, self._on_goal)
         # Agents keep what entries know of crashes, in case all entries are restarted.
-        crashreports.share_crashes(
-            self._mesh, crashes.CrashHistory(self._clock, lambda part: False), rand
-        )
+        self.crash_history = crashes.CrashHistory(self._clock, lambda part: False)
+        crashreports.share_crashes(self._mesh, self.crash_history, rand)
         self._metrics.gauge('origin_bytes', lambda: weight_cache.origin_bytes)
         self._metrics.gauge('peer_bytes', lambda: weight_cache.peer_bytes)
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -82,6 +82,7 @@
             lambda backend: self._connections.close_idle(backend.server_id)
         )
         departures.share_departures(self.mesh, self.backends)
+        self.crash_history = crashes.CrashHistory(self._clock, self._owns_trial)
         self._crash_watch = self._make_crash_watch()
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
@@ -316,7 +317,7 @@
         )
 
     def _make_crash_watch(self) -> crashwatch.CrashWatch:
-        history = crashes.CrashHistory(self._clock, self._owns_trial)
+        history = self.crash_history
         watch = crashwatch.CrashWatch(
             history,
             self.backends,
--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -430,9 +430,9 @@
         await self.restart()
         await self.until(lambda: len(self.known_servers()) == len(servers))
 
-    async def restart(self) -> None:
+    async def restart(self, seeds: tuple[str, ...] = ()) -> None:
         """Start the entry, as a process of its own with new addresses."""
-        self.cfg = self._node()
+        self.cfg = dataclasses.replace(self._node(), seeds=seeds)
         made = platform_main.make_adapter(self.cfg)
         self.entry = entry.make_entry(self.cfg, made)
         await self.entry.start()
