--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -323,9 +323,9 @@
 
     def _add_answer(self, part: str, at: float, source: str) -> bool:
         """Add a complete answer, and return whether it clears anything."""
-        cleared = self._evidence.add_answer(part, at)
-        if cleared:
+        if self._evidence.get_uncleared(part):
             self._suspects = None
+        cleared = self._evidence.add_answer(part, at)
         if not self._clears_block(part, at):
             return bool(cleared)
         self._evidence.keep_answer(part)
