Crash history tests: the oracle forgets crashes as the history does

Cause: the oracle took a report of a crash that was older than the window for one of the forgotten crash. Change: it forgets them for good, too.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -525,11 +525,12 @@
     def __init__(self, clock):
         self.clock = clock
         self.facts = []
+        self.fact_count = 0
         self.results = {}
 
     def once(self, key, compute):
         """Return what was computed before from the same facts at the same time."""
-        state = (len(self.facts), self.clock())
+        state = (self.fact_count, self.clock())
         if self.results.get('state') != state:
             self.results = {'state': state}
         if key not in self.results:
@@ -539,10 +540,12 @@
     def add_crash(self, incarnation, parts, age_s):
         """Keep a crash unless it is older than the window."""
         if age_s < evidence.WINDOW_S:
+            self.fact_count += 1
             self.facts.append(('crash', incarnation, parts, self.clock() - age_s))
 
     def add_answer(self, part, age_s):
         """Keep an answer."""
+        self.fact_count += 1
         self.facts.append(('answer', part, None, self.clock() - age_s))
 
     def add_facts(self, facts):
@@ -577,7 +580,10 @@
                 known_at, known = found.get(incarnation, (at, frozenset()))
                 found[incarnation] = (min(at, known_at), known.union(parts))
         oldest = self.clock() - evidence.WINDOW_S
-        return {each: known for each, known in found.items() if known[0] > oldest}
+        old = {each for each, known in found.items() if known[0] <= oldest}
+        # Forgotten for good: a report that comes later counts as one of a new crash.
+        self.facts = [each for each in self.facts if each[1] not in old]
+        return {each: known for each, known in found.items() if each not in old}
 
     def uncleared(self, part):
         """Return the crashes of a part that no later answer clears."""
