Crash history: entries that missed an answer are told of it as long as they may block

Cause: an answer was kept for peers for ten minutes, while a block lasts up to two hours, so that an entry that had missed the answer kept refusing calls. Found by the state machine (['f'] != [] after all facts were exchanged); test_entry_that_missed_an_answer_is_told_of_it failed before with ['poison'] != [].

--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -16,6 +16,7 @@
 __all__ = ('Evidence', 'Explanation')
 
 WINDOW_S = 600.0  # older crashes are forgotten
+CLEARANCE_S = 7200.0  # peers are told of an answer as long as they may block its part
 # Servers that end within this of the first one may have a cause in common that is no
 # call, such as a power loss. Longer moments would also hold crashes by frequent calls.
 MOMENT_S = 0.2
@@ -284,7 +285,8 @@
 
     def _forget_old_answers(self, now: float) -> None:
         """Keep no longer for peers what can clear no crash that they may report."""
-        old = {part for part, at in self.cleared_at.items() if at <= now - WINDOW_S}
+        oldest = now - CLEARANCE_S
+        old = {part for part, at in self.cleared_at.items() if at <= oldest}
         if old:
             old.difference_update(*(crash.parts for crash in self.crashes.values()))
         for part in old:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -284,6 +284,20 @@
     _assert_equal(_list_blocked(late), [])
 
 
+def test_entry_that_missed_an_answer_is_told_of_it_much_later(make_history, clock):
+    """Its block lasts longer than the window of crashes."""
+    late, cleared = make_history(), make_history()
+    _crash_poisoned(late, clock, 3)
+    cleared.merge(late.export(), 'late')
+    clock.now += 1.0
+    cleared.record_sound(('poison',))
+    clock.now += 2 * evidence.WINDOW_S
+    _assert_equal(_list_blocked(cleared), [])
+    _assert_equal(cleared.merge(late.export(), 'late'), True)
+    late.merge(cleared.export(), 'cleared')
+    _assert_equal(_list_blocked(late), [])
+
+
 def test_block_on_a_part_that_was_answered_lately_is_refuted(make_history, clock):
     """An entry that was cut off may have seen nothing but crashes."""
     isolated, knowing = make_history(), make_history()
