--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -190,6 +190,9 @@
     def find_block(self, parts: Sequence[str]) -> Block | None:
         """Return the block on one of the parts, None if the call may be sent.
 
+        The last part of a prompt may be left out, here and above, if it is no other
+        prompt's: then calls beside one that crashes a server are repeated more often.
+
         Ask once for each call: when a block has lapsed, the process that owns the trial
         gets None once, and the call that it asked for is the trial.
         """
--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -212,7 +212,7 @@
         candidates = [
             part
             for part, crashes in self._uncleared.items()
-            if len(crashes) >= MIN_CRASHES
+            if len(crashes) >= MIN_CRASHES and len(crashes - explained) >= MIN_CRASHES
         ]
         accused: list[str] = []
         undecided: set[str] = set()
