--- a/src/primrosesaddle/process/crashreports.py
+++ b/src/primrosesaddle/process/crashreports.py
@@ -48,7 +48,12 @@
         self._send_new(crashes.Facts((), cleared, ()))
 
     def send_all(self, peer: peers.Peer) -> None:
-        """Send all that is known to a peer."""
+        """Send all that is known to a peer, to an agent only while a part is blocked.
+
+        The narrow links of agents are needed for weights.
+        """
+        if peer.card.role == 'agent' and not self._history.block_count:
+            return
         known = self._history.export()
         if known != crashes.Facts():
             peer.channel.send(_encode(known))
