--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -1,12 +1,15 @@
 """Servers that fall silent for a while and go on, played against an entry."""
 
 import asyncio
+import random
 import time
 
 import pytest
 from testtools import assertions, matchers
 
+import enginestand
 import platformstand as stand
+from primrosesaddle.calls import backends, placement
 
 REFUSE = stand.answer(503, b'', sealed=False, not_run=True)
 EVENTS = b''.join(stand.event(number) for number in range(1, 7))
@@ -261,3 +264,27 @@
         _assert_equal({backend.failure_share for backend in known}, {0.0})
 
     in_fleet(check, *servers)
+
+
+def test_server_that_failed_twice_gets_calls_again():
+    """Two pauses, minutes ago, must not keep all calls from it while it is idle."""
+    now = [0.0]
+    known = backends.Backends(lambda: now[0])
+    placer = placement.Placer(
+        known,
+        'd1',
+        {},
+        random.Random(1),
+        lambda: now[0],
+        enginestand.no_fill_estimate,
+    )
+    enginestand.add_servers(known, a=('d1', (0, 4, 2)), b=('d1', (0, 4, 2)))
+    for _ in range(2):
+        known.get_by_id('a').record_outcome(failed=True)
+    now[0] = 300.0
+    call = enginestand.make_call()
+    chosen = {
+        placer.choose_server(call, enginestand.SERVICE, 0).backend.server_id
+        for _ in range(200)
+    }
+    _assert_equal(chosen, {'a', 'b'})
