Parts that cannot be told apart are refused only together

In a trial run of two entries that began with calls of both kinds, the first part of all prompts was blocked beside the one that crashes servers, and no sound call was served until the trial call 120 s later: five servers had ended within 0.23 s, before any call with the first part had been answered, and both parts were in the same crashes. Nothing could clear the first part after that, as no call with it was sent.

Such parts now refuse only calls that have all of them. A call with some of them is sent; its answer clears those parts, or its crash tells them apart.

test_calls_that_share_a_part_never_answered_before_are_served failed before with 503 for the sound call.

--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -6,8 +6,9 @@
 """
 
 import dataclasses
+import functools
 import math
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from primrosesaddle.calls import evidence, notices
 from primrosesaddle.telemetry import journal
@@ -53,7 +54,7 @@
 
     `incarnation` and `age_s` are of the newest crash, `lapses` counts the times that
     calls crashed servers after the block had lapsed, and `trial_age_s` is set while a
-    trial call has no outcome.
+    trial call has no outcome. `tied` holds the parts that were in the same crashes.
     """
 
     part: str
@@ -62,6 +63,7 @@
     age_s: float
     lapses: int
     trial_age_s: float | None = None
+    tied: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +100,7 @@
     lapses: int
     source: str
     tried_at: float | None = None
+    tied: frozenset[str] = frozenset()
 
     @property
     def lapses_at(self) -> float:
@@ -123,6 +126,7 @@
         is_new = told.crash_count > self.crash_count or told.lapses > self.lapses
         self.crash_count = max(self.crash_count, told.crash_count)
         self.lapses = max(self.lapses, told.lapses)
+        self.tied &= told.tied
         if told.incarnation == self.incarnation:
             self.at = min(self.at, told.at)
         elif told.at > self.at:
@@ -199,7 +203,7 @@
         block = self.get_block(parts)
         if block is None:
             now = self._clock()
-            for tried in (part for part in parts if part in self._blocks):
+            for tried in filter(functools.partial(self._applies, parts), parts):
                 self._blocks[tried].tried_at = now
                 _log('part.trial', tried, self._blocks[tried], now)
         return block
@@ -208,9 +212,9 @@
         """Return what `find_block` would return, without making a call the trial."""
         now = self._clock()
         for part in parts:
-            block = self._blocks.get(part)
-            if block is None:
+            if not self._applies(parts, part):
                 continue
+            block = self._blocks[part]
             retry_in_s = block.trial_due_at - now
             if retry_in_s > 0 or not self._owns_trial(part):
                 return Block(
@@ -222,6 +226,17 @@
                 )
         return None
 
+    def _applies(self, parts: Collection[str], part: str) -> bool:
+        """Return whether a part of a call is blocked, and so are all tied to it.
+
+        Parts that only occurred together cannot be told apart. Calls that have some of
+        them are served, and their answers clear those that are sound.
+        """
+        block = self._blocks.get(part)
+        return block is not None and all(
+            tied in parts for tied in block.tied if tied in self._blocks
+        )
+
     def is_suspect(self, parts: Iterable[str], min_age_s: float = 0.0) -> bool:
         """Return whether a call with these parts may have ended its server.
 
@@ -287,6 +302,7 @@
                     now - block.at,
                     block.lapses,
                     None if block.tried_at is None else now - block.tried_at,
+                    tuple(sorted(block.tied)),
                 )
                 for part, block in self._blocks.items()
             ),
@@ -365,6 +381,7 @@
         told = _KnownBlock(
             report.crash_count, report.incarnation, at, report.lapses, source
         )
+        told.tied = frozenset(report.tied)
         if report.trial_age_s is not None:
             told.tried_at = now - max(report.trial_age_s, 0.0)
         if now > told.lapses_at + MAX_BLOCK_S:
@@ -405,11 +422,22 @@
         kept = {part for part in self._blocks if not self._is_reviewed(part)}
         explanation = self._evidence.explain(kept)
         self._undecided = explanation.undecided
+        new = {part for part in explanation.accused if part not in self._blocks}
         for accused in explanation.accused:
-            if accused not in self._blocks:
-                self._block(accused, self._make_block(accused, source))
+            if accused in new:
+                block = self._make_block(accused, source)
+                block.tied = self._list_tied(accused, new)
+                self._block(accused, block)
         self._withdraw_explained(kept.union(explanation.accused))
 
+    def _list_tied(self, part: str, accused: Iterable[str]) -> frozenset[str]:
+        """Return the parts accused of the same crashes, empty if it is alone."""
+        crashes = self._evidence.get_uncleared(part)
+        tied = frozenset(
+            each for each in accused if self._evidence.get_uncleared(each) == crashes
+        )
+        return tied if len(tied) > 1 else frozenset()
+
     def _is_reviewed(self, part: str) -> bool:
         """Return whether a block rests on crashes that are all known here."""
         block = self._blocks[part]
@@ -435,6 +463,8 @@
             at = crashes[incarnation].at
             if at <= block.at or incarnation == block.incarnation:
                 continue
+            if not block.tied <= crashes[incarnation].parts:
+                block.tied = frozenset()
             if block.add_crash(incarnation, at):
                 block.source = source
                 _log('part.blocked', part, block, self._clock())
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -311,7 +311,8 @@
     """A part of prompts that is not sent, and the newest crash under it.
 
     `lapses` counts the crashes after the block had lapsed. `trial_age_s` is set while a
-    call that is to show whether it still crashes servers has no outcome.
+    call that is to show whether it still crashes servers has no outcome. `tied` holds
+    the parts that were in the same crashes.
     """
 
     part: str
@@ -321,6 +322,7 @@
     age_s: float
     lapses: int
     trial_age_s: float | None = None
+    tied: tuple[str, ...] = ()
 
 
 class CrashFacts(msgspec.Struct, tag=28, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/crashreports.py
+++ b/src/primrosesaddle/process/crashreports.py
@@ -126,6 +126,7 @@
                 block.age_s,
                 block.lapses,
                 block.trial_age_s,
+                block.tied,
             )
             for block in facts.blocks
         ),
@@ -149,6 +150,7 @@
                 block.age_s,
                 block.lapses,
                 block.trial_age_s,
+                block.tied,
             )
             for block in body.blocks
         ),
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -424,6 +424,28 @@
     in_fleet(check)
 
 
+def test_calls_that_share_a_part_never_answered_before_are_served(in_fleet):
+    """All crashes had both parts, and no call with the first one had been answered."""
+
+    async def check(fleet):
+        async with _sufferers(fleet) as load:
+            for _ in range(8):
+                await load.ask(BAD_PARTS)
+                await asyncio.sleep(MOMENT_S)
+            await fleet.until(lambda: all(server.is_up for server in load.servers))
+            _assert_equal((await load.ask(BAD_PARTS)).status, 503)
+            for _ in fleet.entries:
+                reply = await load.ask(SOUND_PARTS)
+                _assert_equal((reply.status, reply.whole), (200, True))
+            await fleet.until(
+                lambda: (
+                    {each.crash_history.block_count for each in fleet.entries} == {1}
+                )
+            )
+
+    in_fleet(check)
+
+
 async def _stream_to_close(seen):
     """Send an event of a stream that ends with its connection."""
     head = f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {seen.request_id}\r\n{stand.SEAL}: 1\r\n'
