Answers: what was buffered is freed with its reservation

Not traced to its end.

One cause that would fit is mended: an attempt gave its reservation back while it still held the bytes, until nothing referred to it, so that others could buffer as much again. The new test failed before (1 MiB held).

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -227,8 +227,9 @@
         return self._unwritten
 
     def release_memory(self) -> None:
-        """Discard an incomplete event, and release what is reserved."""
+        """Discard what is buffered, and release what is reserved for it."""
         self.splitter.reset()
+        self.body.clear()
         self._reservation.release()
 
     def report_silence(self, limit_s: float) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,8 +9,9 @@
 import pytest
 from testtools import assertions, matchers
 
+import enginestand
 import platformstand as stand
-from primrosesaddle.calls import events, silence
+from primrosesaddle.calls import attempts, events, silence
 from primrosesaddle.net import call
 
 OBJECTIVE_MS = 80
@@ -340,6 +341,18 @@
     in_fleet(check, server)
 
 
+def test_memory_that_is_released_is_free():
+    """Another answer may use what was reserved, so nothing may be held on to."""
+
+    async def check():
+        attempt = attempts.Attempt(None, enginestand.make_call(), None)
+        attempt.on_body(b'x' * 1024 * 1024)
+        attempt.release_memory()
+        _assert_equal(sum(map(len, attempt.body)), 0)
+
+    asyncio.run(check())
+
+
 def _record_with_slots(server, slots):
     record = server.record()
     return lambda **fields: {**record, 'slots': slots, **fields}
