--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import os
 import socket
 import typing
 import urllib.parse
@@ -11,6 +12,10 @@
 BASE = '/primrosesaddle'
 CLOSED = (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError)
 FAILED = (*CLOSED, OSError, TimeoutError)
+# Below the ports of outgoing connections, and others for each script that runs.
+BLOCK_SIZE = 60
+_FIRST_PORT = 20000 + os.getpid() % 200 * BLOCK_SIZE
+_PORTS = iter(range(_FIRST_PORT, _FIRST_PORT + BLOCK_SIZE))
 
 
 @dataclasses.dataclass
@@ -55,10 +60,12 @@
 
 
 def free_address(host: str = '127.0.0.1') -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f'{host}:{probe.getsockname()[1]}'
+    """Return a loopback address with a port that is free, and not returned before."""
+    for port in _PORTS:
+        with socket.socket() as probe:
+            if probe.connect_ex((host, port)):
+                return f'{host}:{port}'
+    raise OSError('no port is free')
 
 
 def split(address: str) -> tuple[str, int]:
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -26,7 +26,8 @@
 
     def reset(self) -> int:
         """Reset every connection, and return how many there were."""
-        writers, self._writers = self._writers, set()
+        writers = [each for each in self._writers if not each.transport.is_closing()]
+        self._writers.clear()
         for writer in writers:
             sock = writer.get_extra_info('socket')
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
