--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -74,10 +74,14 @@
             await server.start()
             self.publish(server)
             server.publish = functools.partial(self.publish, server)
-        for made in (*self.entries, *self.agents):
+        for made in self.entries:
             made.start()
         for made in self.entries:
             await made.until_ready()
+        # The entries know each other by the time that agents reach them.
+        await asyncio.sleep(JOIN_S)
+        for made in self.agents:
+            made.start()
         await asyncio.sleep(JOIN_S)
 
     def publish(self, server: engine.Engine) -> None:
