Peers: messages go over the connection that is heard from

Cause: an agent whose connection was reset introduces itself again on a new one. The entry knew its incarnation and kept the channel of the first, which no event closes on a ROUTER socket, and ZeroMQ drops what is sent there. Heartbeats over the new connection kept the peer alive. Evidence: the agent's log has no goal, the entry's no second peer.joined; a test with one reset shows a peer that is alive and is never reached.

The table now sends over the connection that the peer opened last, and moves to the one that is heard from when the current one is closed or silent; silence is measured for each connection, a heartbeat adds a peer that is missing, state is sent again after a change of connection, and a ROUTER socket reports a connection that is gone.

The tests of the dialler no longer pass the time at which a channel was heard from, as the channel has it itself; what they check is unchanged.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -94,7 +94,7 @@
         int,
     )
     members = membertable.MemberTable(_card(0), hooks, None, random.Random(1))
-    members.on_joined.clear()
+    members.on_linked.clear()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     for index in range(1, count + 1):
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -39,7 +39,7 @@
             _make_card(cfg), self.message_dispatcher.make_hooks(), None, rand
         )
         self.members.get_state_labels = self._list_state_labels
-        self.members.on_joined.append(self._send_known_state)
+        self.members.on_linked.append(self._send_known_state)
         self._seeds = cfg.seeds
         self._regions = cfg.regions
         dispatcher = self.message_dispatcher
--- a/src/primrosesaddle/membership/dialler.py
+++ b/src/primrosesaddle/membership/dialler.py
@@ -96,25 +96,18 @@
             if address not in names and self._outgoing[address].conn is None:
                 self._outgoing.pop(address)
 
-    def close_silent(
-        self,
-        get_last_heard_at: Callable[[link.Channel], float],
-        dead_s: float,
-        now: float,
-    ) -> None:
+    def close_silent(self, dead_s: float, now: float) -> None:
         """Close connections that have been silent for too long, and schedule a retry.
 
-        `get_last_heard_at` returns when a message was last received on a channel.
         `dead_s` is the longest silence of a connection in use.
         """
         for outgoing in self._outgoing.values():
             if outgoing.conn is None:
                 continue
-            last_active_at = max(
-                get_last_heard_at(outgoing.conn.channel), outgoing.opened_at
-            )
+            channel = outgoing.conn.channel
+            last_active_at = max(channel.last_heard_at, outgoing.opened_at)
             timeout_s = _silence_timeout_s(outgoing, dead_s)
-            if outgoing.conn.channel.closed or now - last_active_at > timeout_s:
+            if channel.closed or now - last_active_at > timeout_s:
                 self._close_connection(outgoing)
                 outgoing.retry_at = now + backoff.delay_s(
                     outgoing.attempts,
--- a/src/primrosesaddle/membership/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -23,7 +23,7 @@
 
 MessageHandler = Callable[['Channel', int, wire.Body], None]
 RevisionListener = Callable[['Channel', int], None]
-_SendFrames = Callable[[list[bytes]], None]
+_SendFrames = Callable[[list[bytes]], object]
 
 
 class ChannelClosed(Exception):
@@ -74,6 +74,8 @@
     """Messages to and from one peer over one connection.
 
     `card` is that of the peer, None until it has introduced itself with `wire.Hello`.
+    `last_heard_at` is when the peer last sent a hello or a heartbeat on it, by the
+    clock of the table of peers, 0 before the first.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self._outbox: list[bytes] = []
         self.card: wire.Card | None = None
         self.closed = False
+        self.last_heard_at = 0.0
 
     def send(self, body: wire.Body, rid: int = 0, *, reply: bool = False) -> None:
         """Send a message; those of one turn of the event loop are sent together.
@@ -189,6 +192,15 @@
                 self._sessions.pop(identity)
         channel.close()
 
+    def drop_silent(self, heard_until: float) -> None:
+        """Close the sessions that were last heard from before a time.
+
+        Their connections are gone, or the peer has replaced them by others.
+        """
+        for session in self.sessions:
+            if session.last_heard_at < heard_until:
+                self.drop(session)
+
     @property
     def sessions(self) -> list[Channel]:
         """Return the channels of the peers that have introduced themselves."""
@@ -235,17 +247,26 @@
             journal.warning('link.full', sessions=len(self._sessions))
             return None
         channel = Channel(
-            lambda frames: self._messages.send([identity, *frames]),
-            self._hooks.get_revision,
+            lambda frames: self._send(identity, frames), self._hooks.get_revision
         )
         self._sessions[identity] = channel
         return channel
 
+    def _send(self, identity: bytes, frames: list[bytes]) -> None:
+        """Send to a connection, and close its session if it is gone."""
+        if self._messages.send([identity, *frames]):
+            return
+        channel = self._sessions.pop(identity, None)
+        if channel is not None:
+            channel.close()
+            peer = channel.card.name if channel.card else ''
+            journal.info('link.gone', peer=peer, messages=len(frames))
+
     def _send_not_introduced(self, identity: bytes) -> None:
         envelope = wire.Envelope(
             self._hooks.get_revision(), 0, False, wire.NotIntroduced()
         )
-        self._messages.send([identity, wire.encode(envelope)])
+        self._send(identity, [wire.encode(envelope)])
 
 
 class DealerLink:
@@ -368,6 +389,8 @@
     sock.maxmsgsize = MAX_FRAME_BYTES
     if kind == zmq.ROUTER:
         sock.router_handover = True
+        # Messages to a connection that is gone raise an error instead of being dropped.
+        sock.router_mandatory = True
     return sock
 
 
--- a/src/primrosesaddle/membership/membertable.py
+++ b/src/primrosesaddle/membership/membertable.py
@@ -15,6 +15,7 @@
 KEEP_LINKED_S = 30.0
 MAX_DEPARTED_SENT = 64  # departed incarnations sent in a heartbeat, the newest
 DEPARTED_RETENTION_S = 900.0
+SESSION_TIMEOUT_S = 30.0  # connections of peers that are silent for longer are closed
 SLOW_RTT_S = 0.3  # round trips take milliseconds unless a link on the way is full
 
 Listener = Callable[[peers.Peer], None]
@@ -25,7 +26,9 @@
 
     `peers` holds the peers by name, `departed_at` when entries were found departed, by
     incarnation. `get_load` and `get_state_labels` return what heartbeats report.
-    `on_joined` and `on_left` are called with the peer.
+    `on_linked` is called with a peer that has joined, and again when its channel was
+    replaced, as messages on the former channel may be lost; `on_left` with one that is
+    removed.
     """
 
     def __init__(
@@ -46,7 +49,7 @@
         self._linked_until: dict[str, float] = {}
         self.get_load: Callable[[], wire.Load] = wire.Load
         self.get_state_labels: Callable[[], tuple[str, ...]] = tuple
-        self.on_joined: list[Listener] = []
+        self.on_linked: list[Listener] = []
         self.on_left: list[Listener] = []
         self.hooks = hooks
         self._keys = keys
@@ -196,13 +199,27 @@
         is_own_connection = self._dialler.has_opened(channel)
         if not is_own_connection:
             channel.send(self._make_hello())
+        channel.last_heard_at = self._clock()
+        peer = self._join(channel, card, leaving=body.leaving)
+        # A peer opens a new connection when it has lost the last one that it opened.
+        if peer is not None and peer.channel is not channel:
+            if is_own_connection or not self._dialler.has_opened(peer.channel):
+                self._relink(peer, channel)
+
+    def _join(
+        self, channel: link.Channel, card: wire.Card, *, leaving: bool
+    ) -> peers.Peer | None:
+        """Add the peer at the other end of a channel, or update it if it is known.
+
+        Returns None for an incarnation before the one that is known to be alive.
+        """
         now = self._clock()
         known = self.peers.get(card.name)
         # Incarnations are ordered by the time of day, which may have been set back. An
         # older incarnation is therefore accepted once the newer one is silent.
         is_older = card.incarnation < self._newest_incarnations.get(card.name, '')
         if is_older and known is not None and known.is_alive(now, self.suspect_s):
-            return
+            return None
         self._newest_incarnations[card.name] = card.incarnation
         if known is not None and known.card.incarnation != card.incarnation:
             if not known.channel.closed and known.channel is not channel:
@@ -211,15 +228,22 @@
             known = None
         if known is not None:
             known.card = card
-            known.leaving = body.leaving
+            known.leaving = leaving
             known.last_heard_at = now
-            if known.channel.closed or is_own_connection:
-                known.channel = channel
-            return
-        peer = peers.Peer(card, channel, now, body.leaving, first_seen_at=now)
+            if peers.is_outdated(known.channel, channel, self.suspect_s):
+                self._relink(known, channel)
+            return known
+        peer = peers.Peer(card, channel, now, leaving, first_seen_at=now)
         self.peers[card.name] = peer
         journal.info('peer.joined', peer=card.name, incarnation=card.incarnation)
-        _call_listeners(self.on_joined, peer)
+        _call_listeners(self.on_linked, peer)
+        return peer
+
+    def _relink(self, peer: peers.Peer, channel: link.Channel) -> None:
+        """Send messages to a peer on another channel from now on."""
+        peer.channel = channel
+        journal.info('peer.relinked', peer=peer.card.name)
+        _call_listeners(self.on_linked, peer)
 
     def handle_heartbeat(
         self, channel: link.Channel, rid: int, body: wire.Heartbeat
@@ -228,11 +252,13 @@
         now = self._clock()
         if body.nonce and not body.echo:
             channel.send(self._make_heartbeat(body.nonce, echo=True))
-        peer = self._find_peer(channel)
+        channel.last_heard_at = now
+        if channel.card is None:
+            return
+        # The peer may have been removed as silent, or its hello ignored.
+        peer = self._join(channel, channel.card, leaving=body.leaving)
         if peer is None:
             return
-        peer.last_heard_at = now
-        peer.leaving = body.leaving
         peer.load = body.load
         if body.state_labels != peer.state_labels:
             peer.state_labels = body.state_labels
@@ -248,16 +274,11 @@
 
     def find_by_channel(self, channel: link.Channel) -> peers.Peer | None:
         """Return the peer at the other end of a channel, or None."""
-        return self._find_peer(channel)
-
-    def _find_peer(self, channel: link.Channel) -> peers.Peer | None:
         if channel.card is None:
             return None
         peer = self.peers.get(channel.card.name)
         if peer is None or peer.card.incarnation != channel.card.incarnation:
             return None
-        if peer.channel.closed:
-            peer.channel = channel
         return peer
 
     def _make_heartbeat(self, nonce: int, *, echo: bool = False) -> wire.Heartbeat:
@@ -330,7 +351,9 @@
     def _remove_silent(self, now: float) -> None:
         """Remove silent peers, silent connections and old departed incarnations."""
         dead_s = max(peers.DEAD_S, 2 * self.suspect_s)
-        self._dialler.close_silent(self._last_heard_at, dead_s, now)
+        self._dialler.close_silent(dead_s, now)
+        if self._router is not None:
+            self._router.drop_silent(now - max(SESSION_TIMEOUT_S, 2 * dead_s))
         for name, peer in list(self.peers.items()):
             if now - peer.last_heard_at > dead_s:
                 self.peers.pop(name)
@@ -341,10 +364,6 @@
             if now - departed_at < self.departed_retention_s
         }
 
-    def _last_heard_at(self, channel: link.Channel) -> float:
-        peer = self.peers.get(channel.card.name) if channel.card else None
-        return peer.last_heard_at if peer else 0
-
     def _remove_departed(self, peer: peers.Peer, now: float) -> None:
         """Close the links of a removed peer, and remember a departed entry."""
         if peer.card.role == 'entry':
--- a/src/primrosesaddle/membership/messagesocket.py
+++ b/src/primrosesaddle/membership/messagesocket.py
@@ -36,17 +36,23 @@
         self._loop.add_reader(self._descriptor, self._receive)
         self._receive_later()
 
-    def send(self, frames: list[bytes]) -> None:
-        """Send a message; it is dropped when the socket is closed or cannot take it."""
+    def send(self, frames: list[bytes]) -> bool:
+        """Send a message; it is dropped when the socket is closed or cannot take it.
+
+        Returns False if a ROUTER socket has no connection to the peer any more.
+        """
         if self._sock.closed:
-            return
+            return True
+        is_connected = True
         try:
             self._sock.send_multipart(frames, _NOBLOCK)
         except zmq.ZMQError as exc:
+            is_connected = exc.errno != zmq.EHOSTUNREACH
             journal.debug('link.unsent', error=repr(exc))
         # The descriptor signals a message once. Sending may have consumed the signal.
         if int(self._sock.getsockopt(_EVENTS)) & _POLLIN:
             self._receive_later()
+        return is_connected
 
     def close(self, linger_ms: int = 0) -> None:
         """Close the socket; unsent messages are kept for up to `linger_ms`."""
--- a/src/primrosesaddle/membership/peers.py
+++ b/src/primrosesaddle/membership/peers.py
@@ -6,7 +6,13 @@
 from primrosesaddle.core import rendezvous
 from primrosesaddle.membership import link, wire
 
-__all__ = ('Candidate', 'Peer', 'choose_links', 'heartbeat_interval_s')
+__all__ = (
+    'Candidate',
+    'Peer',
+    'choose_links',
+    'heartbeat_interval_s',
+    'is_outdated',
+)
 
 HEARTBEAT_INTERVAL_S = 0.5
 SUSPECT_S = 1.6  # a peer that is silent for longer gets no new work
@@ -27,6 +33,7 @@
 class Peer:
     """The state of one peer; times are in seconds of the monotonic clock.
 
+    `channel` is the one on which messages to the peer are sent; there may be others.
     `state_labels` and `load` are those of its last heartbeat; `versions` maps the names
     that it serves to the digests of their live versions. `rtt_s` is the last round
     trip, 0 if there was none.
@@ -62,6 +69,17 @@
     data_centre: str = ''
 
 
+def is_outdated(current: link.Channel, heard: link.Channel, suspect_s: float) -> bool:
+    """Tell whether messages to a peer go another way than the one heard from now.
+
+    That is so if the current channel is closed, or has been silent for `suspect_s`
+    longer than the one on which the peer was just heard from.
+    """
+    if current is heard:
+        return False
+    return current.closed or heard.last_heard_at - current.last_heard_at > suspect_s
+
+
 def heartbeat_interval_s(peer_count: int) -> float:
     """Return the interval at which heartbeats to all peers stay within the budget."""
     return max(HEARTBEAT_INTERVAL_S, peer_count * HEARTBEAT_BYTES / CONTROL_BYTES_PER_S)
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -32,7 +32,7 @@
         self._metrics = metrics.make_metrics()
         rand = random.Random()
         self._mesh = mesh.make_mesh(cfg, None, rand)
-        self._mesh.members.on_joined.append(self._on_peer_joined)
+        self._mesh.members.on_linked.append(self._on_peer_linked)
         self._goal: wire.Goal | None = None
         self._entry_seen_at = self._clock()
         self._origin: weightcache.Origin | None = None
@@ -110,7 +110,7 @@
         for peer in self._mesh.members.alive_peers('entry'):
             peer.channel.send(state)
 
-    def _on_peer_joined(self, peer: peers.Peer) -> None:
+    def _on_peer_linked(self, peer: peers.Peer) -> None:
         if self._reconciler is not None:
             self._reconciler.report_again()
 
--- a/src/primrosesaddle/process/crashreports.py
+++ b/src/primrosesaddle/process/crashreports.py
@@ -105,7 +105,7 @@
         if peer.card.role == 'entry' or links.members.card.role == 'entry':
             reports.send_all(peer)
 
-    links.members.on_joined.append(greet)
+    links.members.on_linked.append(greet)
     links.round_listeners.append(reports.send_to_some)
     links.message_dispatcher.register(wire.CrashFacts, reports.receive)
     return reports
--- a/src/primrosesaddle/process/departures.py
+++ b/src/primrosesaddle/process/departures.py
@@ -33,5 +33,5 @@
             known_backends.learn_leaving(incarnation, sender)
 
     known_backends.leaving_listeners.append(broadcast)
-    links.members.on_joined.append(send_known)
+    links.members.on_linked.append(send_known)
     links.message_dispatcher.register(wire.LeavingServers, receive)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -115,7 +115,7 @@
         self._goal_sender = goals.GoalSender(
             self._view, self.mesh, self._weight_cache, clocks.seconds_since_boot
         )
-        self.mesh.members.on_joined.append(self._goal_sender.send_goals)
+        self.mesh.members.on_linked.append(self._goal_sender.send_goals)
         self.mesh.message_dispatcher.register(wire.ServerState, self._on_server_state)
         self.mesh.message_dispatcher.register(
             wire.ChunkRequest, self._weight_cache.serve_request
--- a/tests/test_dialler.py
+++ b/tests/test_dialler.py
@@ -59,7 +59,7 @@
         now = 0.0
         while now < 1.0:
             outgoing.dial_due(wanted, lambda name: False, now)
-            outgoing.close_silent(lambda channel: 0.0, DEAD_S, now)
+            outgoing.close_silent(DEAD_S, now)
             now += 0.05
         outgoing.close()
         assertions.assert_that(len(opened), matchers.GreaterThan(1))
@@ -80,7 +80,7 @@
             if len(opened) > count:
                 opened_at = now
             longest_s = max(longest_s, now - opened_at)
-            outgoing.close_silent(lambda channel: 0.0, DEAD_S, now)
+            outgoing.close_silent(DEAD_S, now)
             now += 0.05
         outgoing.close()
         assertions.assert_that(longest_s, matchers.GreaterThan(DEAD_S - 0.5))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,12 +8,16 @@
 from primrosesaddle.membership import dispatching, membertable, peers, wire
 
 
+HEARTBEAT = wire.Heartbeat(1, False, wire.Load(), ())
+
+
 class Channel:
     """A channel that records the messages sent."""
 
     def __init__(self, card):
         self.card = card
         self.closed = False
+        self.last_heard_at = 0.0
         self.sent = []
 
     def send(self, body, rid=0, *, reply=False):
@@ -44,7 +48,9 @@
 
 def _receive_hello(table, name, incarnation):
     card = _card(name, incarnation)
-    table.handle_hello(Channel(card), wire.Hello(card, leaving=False))
+    channel = Channel(card)
+    table.handle_hello(channel, wire.Hello(card, leaving=False))
+    return channel
 
 
 def _assert_equal(actual, expected):
@@ -66,6 +72,39 @@
     _assert_equal(table.peers['e2'].card.incarnation, '0004')
 
 
+def test_start_before_the_time_of_day_was_set_back_joins_by_its_heartbeat(table, clock):
+    """Its hello came while the earlier start counted as alive, and is not repeated."""
+    _receive_hello(table, 'e2', '0005')
+    channel = _receive_hello(table, 'e2', '0004')
+    clock[0] += peers.SUSPECT_S + 0.1
+    table.handle_heartbeat(channel, 0, HEARTBEAT)
+    _assert_equal(table.peers['e2'].card.incarnation, '0004')
+
+
+def test_removed_peer_joins_again_by_its_heartbeat(table, clock):
+    """A peer that was silent may go on over a connection that was not closed."""
+    channel = _receive_hello(table, 'e2', '0005')
+    table.peers.clear()
+    table.handle_heartbeat(channel, 0, HEARTBEAT)
+    _assert_equal(list(table.peers), ['e2'])
+
+
+def test_messages_go_over_the_connection_that_a_peer_opened_last(table):
+    """It opens one when the one before is lost."""
+    _receive_hello(table, 'e2', '0005')
+    channel = _receive_hello(table, 'e2', '0005')
+    _assert_equal(table.peers['e2'].channel, channel)
+
+
+def test_messages_go_over_an_older_connection_if_the_newer_one_is_silent(table, clock):
+    """The way that was heard from last is the one that works."""
+    channel = _receive_hello(table, 'e2', '0005')
+    _receive_hello(table, 'e2', '0005')
+    clock[0] += peers.SUSPECT_S + 0.1
+    table.handle_heartbeat(channel, 0, HEARTBEAT)
+    _assert_equal(table.peers['e2'].channel, channel)
+
+
 def test_roster_lists_the_entries_alive(table, clock):
     """A roster has the entry itself and those that it heard from recently."""
     _receive_hello(table, 'e2', '0005')
