Weight cache: versions of one model do not displace those of another

Entries read its manifest hundreds of times a second, for good.

Cause: a cache kept three versions of all models together and dropped the lowest numbers, so that version 2 of the second model was dropped in the call that stored it, and its reader read it again without a pause.

--- a/src/primrosesaddle/staging/weightcache.py
+++ b/src/primrosesaddle/staging/weightcache.py
@@ -21,7 +21,8 @@
 
 __all__ = ('WeightCache', 'Origin', 'Sources')
 
-KEPT_VERSIONS = 3  # the newest, the one before it, and one that is being superseded
+# Versions of each model: the newest, the one before it, and one being superseded.
+KEPT_VERSIONS = 3
 PEER_TIMEOUT_S = 2.5  # a piece takes 0.1 s on a free link
 HELD_TIMEOUT_S = 0.5  # a request for what is held is answered at once
 RETRY_S = 0.1
@@ -259,7 +260,7 @@
             self._record_failure(version, index, exc)
             body = b''
         if index == MANIFEST_INDEX:
-            if not body:
+            if version not in self._digests:
                 await asyncio.sleep(RETRY_S)
             return
         digests = self._digests.get(version)
@@ -382,13 +383,17 @@
     def _store_digests(
         self, version: pieces.Version, digests: Sequence[str], layer_count: int
     ) -> None:
-        """Store digests, and drop the oldest versions above `KEPT_VERSIONS`."""
+        """Store digests, and drop the model's oldest versions above `KEPT_VERSIONS`."""
         self._digests[version] = pieces.Digests(version, tuple(digests), layer_count)
         self._held.setdefault(version, {})
-        while len(self._held) > KEPT_VERSIONS:
-            oldest = min(self._held, key=lambda held: held.number)
-            self._held.pop(oldest)
-            self._digests.pop(oldest, None)
+        others = [
+            other
+            for other in self._held
+            if other.model == version.model and other != version
+        ]
+        others.sort(key=lambda other: other.number, reverse=True)
+        for other in others[KEPT_VERSIONS - 1 :]:
+            self.drop_version(other)
 
     def _list_sources(
         self, version: pieces.Version, index: int
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -52,11 +52,13 @@
         self.reads = []
         self.corrupt = set()
         self.corrupt_digests = 0
+        self.digest_reads = 0
         self.unreachable = False
         self.delay_s = 0.0
 
     async def read_digests(self, version):
         self._check()
+        self.digest_reads += 1
         if self.corrupt_digests:
             self.corrupt_digests -= 1
             return pieces.Digests(version, ('00',) * PIECES, LAYERS)
@@ -1016,3 +1018,37 @@
         _assert_equal(sorted({index for _, index in fleet.origin.reads}), ALL_PIECES)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize('quiet_number', [1, 2, 3, 9])
+def test_versions_of_one_model_do_not_displace_those_of_another(quiet_number):
+    """A second model's version was dropped as it was stored, and read without end."""
+
+    async def main():
+        origin = FakeOrigin()
+        cache = _make_cache(origin)
+        quiet = pieces.Version('quiet', quiet_number)
+        busy = [pieces.Version('busy', number) for number in (3, 4, 5, 6)]
+        for version in (*busy[:3], quiet, *busy[3:]):
+            await asyncio.wait_for(cache.fetch_digests(version), 1)
+            await asyncio.wait_for(cache.fetch_piece(version, 0), 1)
+        read = len(origin.reads)
+        await cache.fetch_piece(quiet, 0)
+        await cache.fetch_piece(busy[-1], 0)
+        _assert_equal(len(origin.reads), read)
+
+    asyncio.run(main())
+
+
+def test_version_older_than_those_held_is_read_once():
+    """It was dropped as it was stored, and read again without a pause."""
+
+    async def main():
+        origin = FakeOrigin()
+        cache = _make_cache(origin)
+        for number in (3, 4, 5, 2):
+            version = pieces.Version(MODEL, number)
+            await asyncio.wait_for(cache.fetch_digests(version), 1)
+        _assert_equal(origin.digest_reads, 4)
+
+    asyncio.run(main())
