Weight cache: digests that pieces do not match are doubted up to the origin

The version was complete nowhere, and from its bound on every call was refused; some 780 pieces were read for a version of 64.

Cause: a cache dropped its digests after four corrupt pieces, and read the same ones from the entry that it had them from. That one reads the origin only if it reads a piece itself that does not match, so that a digit healed or not depending on which entry is the primary of its piece.

Doubts now name the digests in question, and an entry that holds the same ones reads them again, up to the origin. Digests in use are replaced only by others, and held pieces are checked against them.

--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -141,6 +141,7 @@
 
     `begin` and `end` limit it to a range of bytes; an end of 0 means up to its end.
     With `held_only` the answer comes at once from what is held, without further reads.
+    `doubted` is the fingerprint of a manifest that the sender takes for corrupt.
     """
 
     manifest: str
@@ -148,6 +149,7 @@
     begin: int = 0
     end: int = 0
     held_only: bool = False
+    doubted: str = ''
 
 
 class Chunk(msgspec.Struct, tag=13, array_like=True, frozen=True):
--- a/src/primrosesaddle/staging/pieces.py
+++ b/src/primrosesaddle/staging/pieces.py
@@ -32,9 +32,17 @@
     pieces: tuple[str, ...]
     layer_count: int = 0
 
+    @property
+    def fingerprint(self) -> str:
+        """Return a short text that differs for other digests or layers."""
+        text = '\n'.join((str(self.layer_count), *self.pieces))
+        return hashlib.sha256(text.encode()).hexdigest()[:16]
+
 
 def matches_digest(digests: Digests, index: int, body: bytes) -> bool:
     """Return whether a piece is intact, that is, matches the published digest."""
+    if index >= len(digests.pieces):
+        return False
     return hashlib.sha256(body).hexdigest() == digests.pieces[index]
 
 
--- a/src/primrosesaddle/staging/weightcache.py
+++ b/src/primrosesaddle/staging/weightcache.py
@@ -10,13 +10,14 @@
 import asyncio
 import collections
 import random
+import time
 import typing
 from collections.abc import Callable, Iterator, Sequence
 
 from primrosesaddle.core import backoff
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import call
-from primrosesaddle.staging import pieces, piecesources
+from primrosesaddle.staging import doubts, pieces, piecesources
 from primrosesaddle.telemetry import journal
 
 __all__ = ('WeightCache', 'Origin', 'Sources')
@@ -36,8 +37,6 @@
 POLL_S = 0.02  # between checks whether a piece has arrived
 # Times that a primary lacks a piece until the sources after it are asked.
 LACKS_PER_FALLBACK = 16
-# Corrupt pieces of a version until its digests are read again.
-CORRUPT_PIECES_PER_REREAD = 4
 _READ_ERRORS = (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError)
 FAILURES_PER_LOG_LINE = 20  # one in this many failed reads is logged
 MANIFEST_INDEX = -1  # stands for the digests in place of a piece
@@ -97,9 +96,7 @@
         self._digests: dict[pieces.Version, pieces.Digests] = {}
         self._held: dict[pieces.Version, dict[int, bytes]] = {}
         self._reading: dict[tuple[pieces.Version, int], asyncio.Task[None]] = {}
-        self._corrupt_counts: collections.Counter[pieces.Version] = (
-            collections.Counter()
-        )
+        self._doubts = doubts.Doubts(time.monotonic)
         self._lack_counts: collections.Counter[tuple[pieces.Version, int]]
         self._lack_counts = collections.Counter()
         self._failures = 0
@@ -133,7 +130,7 @@
     ) -> bytes | None:
         """Return a verified piece, or None when one attempt did not yield it."""
         body = self._held.get(version, {}).get(index)
-        if body is None:
+        if body is None and not self._doubts.get_delay_s(version, index):
             await self._read_shared(version, index)
             body = self._held.get(version, {}).get(index)
         return body
@@ -179,6 +176,7 @@
         """Drop the pieces and digests of a version."""
         self._held.pop(version, None)
         self._digests.pop(version, None)
+        self._doubts.drop_version(version)
 
     def serve_request(
         self, channel: link.Channel, rid: int, body: wire.ChunkRequest
@@ -198,7 +196,7 @@
         if body.held_only:
             found = self._get_held(version, body.index)
         else:
-            found = await self._await_requested(version, body.index)
+            found = await self._await_requested(version, body)
         part = found[body.begin : body.end or len(found)]
         channel.send(wire.Chunk(bool(found), part), rid, reply=True)
 
@@ -211,18 +209,29 @@
             return b''
         return '\n'.join((str(digests.layer_count), *digests.pieces)).encode()
 
-    async def _await_requested(self, version: pieces.Version, index: int) -> bytes:
+    async def _await_requested(
+        self, version: pieces.Version, body: wire.ChunkRequest
+    ) -> bytes:
+        if body.index == MANIFEST_INDEX:
+            found = self._get_requested_digests(version, body.doubted)
+        else:
+            found = self._get_requested(version, body.index)
         try:
-            return await asyncio.wait_for(
-                self._get_requested(version, index), SERVE_TIMEOUT_S
-            )
+            return await asyncio.wait_for(found, SERVE_TIMEOUT_S)
         except TimeoutError:
             return b''
 
+    async def _get_requested_digests(
+        self, version: pieces.Version, doubted: str
+    ) -> bytes:
+        """Return digests; those that a peer doubts are read again before."""
+        digests = await self.fetch_digests(version)
+        if digests.fingerprint == doubted and self._doubts.start_reread(version):
+            await self._read_shared(version, MANIFEST_INDEX)
+        return self._get_held(version, MANIFEST_INDEX)
+
     async def _get_requested(self, version: pieces.Version, index: int) -> bytes:
         digests = await self.fetch_digests(version)
-        if index == MANIFEST_INDEX:
-            return self._get_held(version, index)
         if not 0 <= index < len(digests.pieces):
             return b''
         if version in self._prefetching and self._is_primary(version, index):
@@ -261,19 +270,20 @@
             body = b''
         if index == MANIFEST_INDEX:
             if version not in self._digests:
-                await asyncio.sleep(RETRY_S)
+                delay_s = self._doubts.get_delay_s(version, MANIFEST_INDEX)
+                await asyncio.sleep(max(RETRY_S, delay_s))
             return
         digests = self._digests.get(version)
         if digests is None or not body:
             return
         if pieces.matches_digest(digests, index, body):
             self._held.setdefault(version, {})[index] = body
+            self._doubts.record_intact(version, index)
             return
         journal.warning('piece.spoilt', version=version.label, index=index)
-        self._corrupt_counts[version] += 1
-        if self._corrupt_counts[version] % CORRUPT_PIECES_PER_REREAD == 0:
-            # The digests themselves may be corrupt.
-            self._digests.pop(version, None)
+        is_doubted = self._doubts.record_corrupt(version, index)
+        if is_doubted and self._doubts.start_reread(version):
+            journal.warning('manifest.doubted', version=version.label, index=index)
             await self._read_shared(version, MANIFEST_INDEX)
 
     def _record_failure(
@@ -302,27 +312,40 @@
                 continue
             if peer.channel is None:
                 return await self._read_origin(version, index)
-            try:
-                body = await self._read_peer(peer.channel, version, index, only_if_held)
-            except (TimeoutError, link.ChannelClosed) as exc:
-                journal.info('piece.no_answer', peer=peer.name, error=repr(exc))
-                continue
+            body = await self._ask_peer(
+                peer.name, peer.channel, version, index, only_if_held
+            )
             if body:
-                self._record_received(version, index, body)
                 return body
+            if body is None:
+                continue
             waits_for_primary = waits_for_primary or self._has_to_wait(
                 version, index, only_if_held
             )
         return b''
 
-    def _record_received(
-        self, version: pieces.Version, index: int, body: bytes
-    ) -> None:
-        """Count the bytes that a peer sent, and store them if they are digests."""
-        self.peer_bytes += len(body)
-        if index == MANIFEST_INDEX:
-            layer_count, *digests = body.decode().split('\n')
-            self._store_digests(version, digests, int(layer_count))
+    async def _ask_peer(
+        self,
+        name: str,
+        channel: link.Channel,
+        version: pieces.Version,
+        index: int,
+        only_if_held: bool,
+    ) -> bytes | None:
+        """Return digests or a piece from a peer, empty bytes if it has none.
+
+        Returns None if there is no answer, or if the digests in it are refused.
+        """
+        try:
+            body = await self._read_peer(channel, version, index, only_if_held)
+            self.peer_bytes += len(body)
+            if body and index == MANIFEST_INDEX:
+                layer_count, *digests = body.decode().split('\n')
+                self._store_digests(version, digests, int(layer_count))
+        except (TimeoutError, link.ChannelClosed, ValueError) as exc:
+            journal.info('piece.no_answer', peer=name, error=repr(exc))
+            return None
+        return body
 
     def _has_to_wait(
         self, version: pieces.Version, index: int, only_if_held: bool
@@ -343,24 +366,31 @@
     ) -> bytes:
         """Read digests or a piece from a peer, some blocks at once.
 
-        If the peer may not hold it, only the first block is requested at first.
+        If the peer may not hold it, only the first block is requested at first, and
+        if it is asked to read digests again, which may change their length.
         """
+        doubted = self._get_doubted(version, index)
+        count_at_first = 1 if only_if_held or doubted else self._parallel_blocks
         blocks: list[bytes] = []
         requested: list[asyncio.Task[bytes]] = []
         begin = 0
         try:
             while not blocks or len(blocks[-1]) == BLOCK_BYTES:
-                while len(requested) < (
-                    1 if only_if_held and not blocks else self._parallel_blocks
-                ):
-                    end = begin + BLOCK_BYTES
+                count = self._parallel_blocks if blocks else count_at_first
+                while len(requested) < count:
                     block = wire.ChunkRequest(
-                        version.label, index, begin, end, only_if_held
+                        version.label,
+                        index,
+                        begin,
+                        begin + BLOCK_BYTES,
+                        only_if_held,
+                        doubted,
                     )
                     requested.append(
                         asyncio.create_task(_request_block(channel, block))
                     )
-                    begin = end
+                    begin += BLOCK_BYTES
+                    doubted = ''
                 blocks.append(await requested.pop(0))
         finally:
             for task in requested:
@@ -384,8 +414,18 @@
         self, version: pieces.Version, digests: Sequence[str], layer_count: int
     ) -> None:
         """Store digests, and drop the model's oldest versions above `KEPT_VERSIONS`."""
-        self._digests[version] = pieces.Digests(version, tuple(digests), layer_count)
-        self._held.setdefault(version, {})
+        found = pieces.Digests(version, tuple(digests), layer_count)
+        known = self._digests.get(version)
+        self._digests[version] = found
+        if known is not None and known != found:
+            journal.warning('manifest.replaced', version=version.label)
+            self._doubts.record_new_digests(version)
+        held = self._held.setdefault(version, {})
+        self._held[version] = {
+            index: body
+            for index, body in held.items()
+            if known == found or pieces.matches_digest(found, index, body)
+        }
         others = [
             other
             for other in self._held
@@ -404,11 +444,21 @@
         found = piecesources.list_sources(
             self._name, self._region, origin, version, index, entries
         )
-        if index == MANIFEST_INDEX and self._corrupt_counts[version]:
+        if self._get_doubted(version, index):
             # Entries may have sent each other corrupt digests.
             return [source for source in found if not source.only_if_held]
         return found
 
+    def _get_doubted(self, version: pieces.Version, index: int) -> str:
+        """Return the fingerprint of the digests that a read is to replace, '' if none.
+
+        Digests are read while some are known only if these are doubted.
+        """
+        if index != MANIFEST_INDEX:
+            return ''
+        known = self._digests.get(version)
+        return '' if known is None else known.fingerprint
+
     def _is_primary(self, version: pieces.Version, index: int) -> bool:
         """Return whether this process is the primary of a piece in its region."""
         entries = self._sources.list_peers()
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -1,6 +1,7 @@
 """Distribution of weights: caches, fetches and reconcilers, with fakes around them."""
 
 import asyncio
+import contextlib
 import dataclasses
 import hashlib
 import itertools
@@ -23,6 +24,7 @@
 PIECES = 8
 LAYERS = 4
 MODEL = 'm1'
+MAX_COPIES = 4  # that may be read from the origin for one version
 
 
 def _make_piece(version, index):
@@ -41,17 +43,22 @@
     return layers.Span(0, LAYERS, number)
 
 
+def _spoil_all(digests):
+    return dataclasses.replace(digests, pieces=('0' * 64,) * PIECES)
+
+
 class FakeOrigin:
     """An origin that can send corrupt pieces and digests, or be unreachable.
 
     `corrupt` holds (version, index) of pieces that are sent corrupt once, and
-    `corrupt_digests` is how many times digests are sent corrupt.
+    `corrupt_digests` is how many times digests are sent corrupt, by `spoil`.
     """
 
     def __init__(self):
         self.reads = []
         self.corrupt = set()
         self.corrupt_digests = 0
+        self.spoil = _spoil_all
         self.digest_reads = 0
         self.unreachable = False
         self.delay_s = 0.0
@@ -61,7 +68,7 @@
         self.digest_reads += 1
         if self.corrupt_digests:
             self.corrupt_digests -= 1
-            return pieces.Digests(version, ('00',) * PIECES, LAYERS)
+            return self.spoil(_make_digests(version))
         return _make_digests(version)
 
     async def read_piece(self, version, index):
@@ -153,12 +160,20 @@
     The check gets the reconciler and the list of the reports that it sends.
     """
 
-    def run(check, engine, origin, bound_s=1.0, receiver_count=1, clock=None):
+    def run(
+        check,
+        engine,
+        origin=None,
+        bound_s=1.0,
+        receiver_count=1,
+        clock=None,
+        cache=None,
+    ):
         async def main():
             reports = []
             engine_reconciler = reconciler.EngineReconciler(
                 engine,
-                _make_cache(origin),
+                cache or _make_cache(origin),
                 bound_s,
                 reports.append,
                 lambda: receiver_count,
@@ -789,7 +804,9 @@
     def make_entry_cache(self, name):
         """Return an empty cache of an entry, as after its start."""
         sources = weightcache.Sources(
-            self.list_peers, lambda: self.origin, lambda: 'region-1'
+            self.list_peers,
+            lambda: self.origin,
+            lambda: 'region-1',
         )
         return weightcache.WeightCache(
             name, self.regions[name], sources, random.Random(1)
@@ -1020,6 +1037,75 @@
     asyncio.run(main())
 
 
+def _spoil_digit(*indexes):
+    """Return a function that changes a digit of the digests of these pieces."""
+
+    def spoil(digests):
+        spoilt = list(digests.pieces)
+        for index in indexes:
+            first = '1' if spoilt[index].startswith('0') else '0'
+            spoilt[index] = first + spoilt[index][1:]
+        return dataclasses.replace(digests, pieces=tuple(spoilt))
+
+    return spoil
+
+
+_SPOILS = [
+    *(_spoil_digit(index) for index in ALL_PIECES),
+    _spoil_digit(1, 5, 6),
+    _spoil_all,
+]
+
+
+@pytest.mark.parametrize(
+    ('spoil', 'times'),
+    [
+        *((spoil, 1) for spoil in _SPOILS),
+        *((spoil, 3) for spoil in (_spoil_digit(3), _spoil_all)),
+    ],
+)
+def test_spoilt_digest_stops_no_version(with_reconciler, spoil, times):
+    """The version was complete nowhere, as its digests were never read again.
+
+    The manifest is spoilt in the first reads from the origin, whoever makes them.
+    """
+    fleet = Fleet(TWO_REGIONS)
+    fleet.origin.spoil, fleet.origin.corrupt_digests = spoil, times
+    engine = FakeEngine()
+
+    async def check(engine_reconciler, reports):
+        version = pieces.Version(MODEL, 1)
+        prefetches = [
+            asyncio.create_task(cache.prefetch(version))
+            for cache in fleet.caches.values()
+        ]
+        engine_reconciler.set_goal(_goal(1))
+        await _wait_until(lambda: engine.models == {MODEL: _all_layers(1)})
+        await asyncio.gather(*prefetches)
+        assert all(is_intact for _, is_intact in engine.orders)
+        assert fleet.origin.digest_reads <= times + 4
+        assert len(fleet.origin.reads) <= MAX_COPIES * PIECES
+
+    with_reconciler(check, engine, cache=fleet.make_agent_cache('region-2'))
+
+
+def test_piece_that_stays_corrupt_is_read_less_and_less_often():
+    """It was read from the origin some ten times a second, for good."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1', 'entry-2': 'region-1'})
+        fleet.origin.spoil = _spoil_digit(5)
+        fleet.origin.corrupt_digests = 1000
+        version = pieces.Version(MODEL, 1)
+        prefetches = [cache.prefetch(version) for cache in fleet.caches.values()]
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.gather(*prefetches), 4)
+        assert len(fleet.origin.reads) <= PIECES + 8
+        assert fleet.origin.digest_reads <= 8
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize('quiet_number', [1, 2, 3, 9])
 def test_versions_of_one_model_do_not_displace_those_of_another(quiet_number):
     """A second model's version was dropped as it was stored, and read without end."""
