Weight cache: a manifest has to agree with the configuration

One digit of the manifest had been spoilt on its way: 17 layers in place of 16.

Cause: the pieces that a layer needs were computed from the manifest's number of layers, which nothing verified, and the layers to load from the configuration's. Three pieces were never staged, those of the older version stayed, and all others matched their digests.

Manifests are compared with what the configuration states, at entries and, by the goals that they get, at agents. Another number of pieces, malformed digests or another model or version are refused; another number of layers is refused twice, and then not used, so that every layer needs all pieces.

--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -274,7 +274,8 @@
 
     `switch_position` is the receiver's position, from 0 to 1, in the order in which
     servers switch. `first_part_index` is the part of the layers that it loads first.
-    `age_known` is false if the sender assumes the age.
+    `age_known` is false if the sender assumes the age. `piece_count` is the number of
+    pieces of the weights, 0 if not known.
     """
 
     model: str
@@ -286,6 +287,7 @@
     layer_count: int = 0
     first_part_index: int = 0
     age_known: bool = False
+    piece_count: int = 0
 
 
 class VersionAges(msgspec.Struct, tag=26, array_like=True, frozen=True):
--- a/src/primrosesaddle/platform/origin.py
+++ b/src/primrosesaddle/platform/origin.py
@@ -16,6 +16,8 @@
 class _Manifest(msgspec.Struct):
     digests: list[str]
     layers: int = 0
+    model: str | None = None
+    version: int | None = None
 
 
 _MANIFEST = msgspec.json.Decoder(_Manifest)
@@ -38,6 +40,11 @@
         answer = await self._client.call('GET', target, DIGESTS_TIMEOUT_S)
         _check_status(answer, target)
         manifest = jsonbody.decode_answer(answer.body, _MANIFEST, target)
+        is_of_model = manifest.model in {None, version.model}
+        if not is_of_model or manifest.version not in {None, version.number}:
+            raise call.CallFailed(
+                f'{target}: manifest of {manifest.model}@{manifest.version}'
+            )
         return pieces.Digests(version, tuple(manifest.digests), manifest.layers)
 
     async def read_piece(self, version: pieces.Version, index: int) -> bytes:
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -34,6 +34,7 @@
         self._mesh = mesh.make_mesh(cfg, None, rand)
         self._mesh.members.on_linked.append(self._on_peer_linked)
         self._goal: wire.Goal | None = None
+        self._shapes: dict[str, pieces.Shape] = {}
         self._entry_seen_at = self._clock()
         self._origin: weightcache.Origin | None = None
         self._origin_address = ''
@@ -41,6 +42,7 @@
             self._list_origin_readers,
             self._origin_without_entries,
             lambda: self._origin_region,
+            lambda model: self._shapes.get(model, pieces.Shape()),
         )
         weight_cache = weightcache.WeightCache(
             cfg.name, cfg.region, sources, rand, weightcache.AGENT_PARALLEL_BLOCKS
@@ -116,6 +118,7 @@
 
     def _on_goal(self, channel: link.Channel, rid: int, body: wire.Goal) -> None:
         self._goal = body
+        self._shapes[body.model] = pieces.Shape(body.layer_count, body.piece_count)
         if body.origin != self._origin_address:
             self._origin_address = body.origin
             self._origin = self._platform.make_origin(body.origin)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -109,6 +109,7 @@
                 self._list_origin_readers,
                 lambda: self._origin,
                 lambda: self._goal_sender.origin_region(),
+                lambda model: self._goal_sender.get_shape(model),
             ),
             self._rand,
         )
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -81,6 +81,13 @@
             return ''
         return self._mesh.region_of(origin.data_centre)
 
+    def get_shape(self, model: str) -> pieces.Shape:
+        """Return the shape of a model's weights, as the configuration states it."""
+        for _, goal in self._list_goals():
+            if goal.model == model:
+                return pieces.Shape(goal.layer_count, goal.piece_count)
+        return pieces.Shape()
+
     def _switch_position(self, service: str, goal: wire.Goal, name: str) -> float:
         """Return an agent's position in the order in which servers switch versions.
 
@@ -135,6 +142,7 @@
                     self.origin_region(),
                     layer_count=engine.layer_count,
                     age_known=announcement is not None and announcement.is_known,
+                    piece_count=engine.piece_count,
                 )
                 goals.append((service.name, goal))
         return goals
--- a/src/primrosesaddle/staging/pieces.py
+++ b/src/primrosesaddle/staging/pieces.py
@@ -2,10 +2,21 @@
 
 import dataclasses
 import hashlib
+import re
 
 from primrosesaddle.core import layers
 
-__all__ = ('Digests', 'Version', 'find_indexes', 'matches_digest', 'parse_label')
+__all__ = (
+    'Digests',
+    'Shape',
+    'Version',
+    'check_digests',
+    'find_indexes',
+    'matches_digest',
+    'parse_label',
+)
+
+_DIGEST = re.compile('[0-9a-f]{64}')  # SHA-256 in hexadecimal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +50,28 @@
         return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """The number of layers and pieces of a model's weights, 0 where not known."""
+
+    layer_count: int = 0
+    piece_count: int = 0
+
+
+def check_digests(digests: Digests, shape: Shape) -> None:
+    """Raise `ValueError` unless digests are well-formed and of the expected number.
+
+    The number of layers is not compared: see `find_indexes`.
+    """
+    label = digests.version.label
+    for index, digest in enumerate(digests.pieces):
+        if _DIGEST.fullmatch(digest) is None:
+            raise ValueError(f'digest {index} of {label} is no SHA-256: {digest!r}')
+    count = len(digests.pieces)
+    if not count or shape.piece_count not in {0, count}:
+        raise ValueError(f'{label} has {count} digests, not {shape.piece_count}')
+
+
 def matches_digest(digests: Digests, index: int, body: bytes) -> bool:
     """Return whether a piece is intact, that is, matches the published digest."""
     if index >= len(digests.pieces):
--- a/src/primrosesaddle/staging/weightcache.py
+++ b/src/primrosesaddle/staging/weightcache.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 import time
 import typing
@@ -37,6 +38,9 @@
 POLL_S = 0.02  # between checks whether a piece has arrived
 # Times that a primary lacks a piece until the sources after it are asked.
 LACKS_PER_FALLBACK = 16
+# Reads of a manifest that states another number of layers than is expected, until it is
+# used without a number.
+LAYER_COUNT_READS = 3
 _READ_ERRORS = (call.CallFailed, TimeoutError, link.ChannelClosed, ValueError)
 FAILURES_PER_LOG_LINE = 20  # one in this many failed reads is logged
 MANIFEST_INDEX = -1  # stands for the digests in place of a piece
@@ -61,12 +65,14 @@
 class Sources(typing.NamedTuple):
     """Where a cache may read: functions that return entries and the origin.
 
-    `get_origin` returns None when the origin may not be read.
+    `get_origin` returns None when the origin may not be read. `get_shape` returns the
+    shape of a model's weights, as far as the configuration tells.
     """
 
     list_peers: Callable[[], Sequence[piecesources.Peer]]
     get_origin: Callable[[], Origin | None]
     get_origin_region: Callable[[], str]
+    get_shape: Callable[[str], pieces.Shape] = lambda model: pieces.Shape()
 
 
 class WeightCache:
@@ -97,6 +103,10 @@
         self._held: dict[pieces.Version, dict[int, bytes]] = {}
         self._reading: dict[tuple[pieces.Version, int], asyncio.Task[None]] = {}
         self._doubts = doubts.Doubts(time.monotonic)
+        self._wrong_layer_counts: collections.Counter[pieces.Version]
+        self._wrong_layer_counts = collections.Counter()
+        # Fingerprints of manifests that were refused, for other processes to check.
+        self._refused: dict[pieces.Version, str] = {}
         self._lack_counts: collections.Counter[tuple[pieces.Version, int]]
         self._lack_counts = collections.Counter()
         self._failures = 0
@@ -176,6 +186,8 @@
         """Drop the pieces and digests of a version."""
         self._held.pop(version, None)
         self._digests.pop(version, None)
+        self._refused.pop(version, None)
+        self._wrong_layer_counts.pop(version, None)
         self._doubts.drop_version(version)
 
     def serve_request(
@@ -413,8 +425,22 @@
     def _store_digests(
         self, version: pieces.Version, digests: Sequence[str], layer_count: int
     ) -> None:
-        """Store digests, and drop the model's oldest versions above `KEPT_VERSIONS`."""
+        """Store digests, and drop the model's oldest versions above `KEPT_VERSIONS`.
+
+        Raises `ValueError` for digests that the origin cannot have published.
+        """
         found = pieces.Digests(version, tuple(digests), layer_count)
+        shape = self._sources.get_shape(version.model)
+        try:
+            pieces.check_digests(found, shape)
+            found = self._check_layer_count(found, shape)
+        except ValueError as exc:
+            journal.warning('manifest.refused', version=version.label, error=str(exc))
+            self._refused[version] = found.fingerprint
+            self._doubts.record_corrupt(version, MANIFEST_INDEX)
+            raise
+        self._refused.pop(version, None)
+        self._doubts.record_accepted(version, MANIFEST_INDEX)
         known = self._digests.get(version)
         self._digests[version] = found
         if known is not None and known != found:
@@ -435,6 +461,28 @@
         for other in others[KEPT_VERSIONS - 1 :]:
             self.drop_version(other)
 
+    def _check_layer_count(
+        self, found: pieces.Digests, shape: pieces.Shape
+    ) -> pieces.Digests:
+        """Return digests with a number of layers that may be used.
+
+        Which pieces a layer needs follows from that number. Digests that state another
+        one than is expected are refused, and after some reads are used without it:
+        every layer then needs all pieces.
+
+        Raises `ValueError` if they are refused.
+        """
+        expected = shape.layer_count
+        if expected in {0, found.layer_count}:
+            return found
+        version = found.version
+        self._wrong_layer_counts[version] += 1
+        if self._wrong_layer_counts[version] < LAYER_COUNT_READS:
+            raise ValueError(
+                f'{version.label} has {found.layer_count} layers, not {expected}'
+            )
+        return dataclasses.replace(found, layer_count=0)
+
     def _list_sources(
         self, version: pieces.Version, index: int
     ) -> list[piecesources.Source]:
@@ -457,7 +505,9 @@
         if index != MANIFEST_INDEX:
             return ''
         known = self._digests.get(version)
-        return '' if known is None else known.fingerprint
+        if known is not None:
+            return known.fingerprint
+        return self._refused.get(version, '')
 
     def _is_primary(self, version: pieces.Version, index: int) -> bool:
         """Return whether this process is the primary of a piece in its region."""
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import itertools
+import json
 import random
 
 import pytest
@@ -13,6 +14,7 @@
 from primrosesaddle.core import layers, rendezvous
 from primrosesaddle.membership import wire
 from primrosesaddle.net import call
+from primrosesaddle.platform import origin as origin_client
 from primrosesaddle.staging import (
     fetching,
     pieces,
@@ -795,6 +797,7 @@
 
     def __init__(self, regions):
         self.origin = FakeOrigin()
+        self.shape = pieces.Shape(LAYERS, PIECES)
         self.regions = dict(regions)
         self.leaving = set()
         self.caches = {}
@@ -807,6 +810,7 @@
             self.list_peers,
             lambda: self.origin,
             lambda: 'region-1',
+            lambda model: self.shape,
         )
         return weightcache.WeightCache(
             name, self.regions[name], sources, random.Random(1)
@@ -814,7 +818,9 @@
 
     def make_agent_cache(self, region):
         """Return the cache of an agent, which may not read the origin."""
-        sources = weightcache.Sources(self.list_peers, lambda: None, lambda: 'region-1')
+        sources = weightcache.Sources(
+            self.list_peers, lambda: None, lambda: 'region-1', lambda model: self.shape
+        )
         return weightcache.WeightCache('agent', region, sources, random.Random(1))
 
     def list_peers(self):
@@ -1050,10 +1056,32 @@
     return spoil
 
 
+def _spoil_layers(count):
+    return lambda digests: dataclasses.replace(digests, layer_count=count)
+
+
+def _drop_last(digests):
+    return dataclasses.replace(digests, pieces=digests.pieces[:-1])
+
+
+def _repeat_last(digests):
+    return dataclasses.replace(digests, pieces=(*digests.pieces, digests.pieces[-1]))
+
+
+def _cut_digest(digests):
+    return dataclasses.replace(
+        digests, pieces=(digests.pieces[0][1:], *digests.pieces[1:])
+    )
+
+
 _SPOILS = [
+    *(_spoil_layers(count) for count in (0, 1, LAYERS - 1, LAYERS + 1, 2**40)),
     *(_spoil_digit(index) for index in ALL_PIECES),
     _spoil_digit(1, 5, 6),
     _spoil_all,
+    _drop_last,
+    _repeat_last,
+    _cut_digest,
 ]
 
 
@@ -1061,11 +1089,14 @@
     ('spoil', 'times'),
     [
         *((spoil, 1) for spoil in _SPOILS),
-        *((spoil, 3) for spoil in (_spoil_digit(3), _spoil_all)),
+        *((spoil, 3) for spoil in (_spoil_layers(LAYERS + 1), _spoil_digit(3))),
+        *((spoil, 3) for spoil in (_spoil_all, _drop_last)),
     ],
 )
-def test_spoilt_digest_stops_no_version(with_reconciler, spoil, times):
-    """The version was complete nowhere, as its digests were never read again.
+def test_spoilt_manifest_neither_mixes_versions_nor_stops_one(
+    with_reconciler, spoil, times
+):
+    """Layers of two versions were loaded, or the version was never complete.
 
     The manifest is spoilt in the first reads from the origin, whoever makes them.
     """
@@ -1106,6 +1137,21 @@
     asyncio.run(main())
 
 
+def test_digests_that_stay_refused_are_read_less_and_less_often():
+    """They are read from the origin, the bytes of which are priced."""
+
+    async def main():
+        fleet = Fleet({'entry-1': 'region-1'})
+        fleet.origin.spoil, fleet.origin.corrupt_digests = _drop_last, 1000
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                fleet.caches['entry-1'].fetch_digests(pieces.Version(MODEL, 1)), 3
+            )
+        assert fleet.origin.digest_reads <= 6
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize('quiet_number', [1, 2, 3, 9])
 def test_versions_of_one_model_do_not_displace_those_of_another(quiet_number):
     """A second model's version was dropped as it was stored, and read without end."""
@@ -1138,3 +1184,19 @@
         _assert_equal(origin.digest_reads, 4)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize('stated', [('m2', 3), (MODEL, 2), (MODEL, 13)])
+def test_manifest_of_another_model_or_version_is_refused(monkeypatch, stated):
+    """Its digests match the pieces of that one, which would be loaded."""
+    digests = _make_digests(pieces.Version(MODEL, 3)).pieces
+    manifest = {'model': stated[0], 'version': stated[1], 'layers': LAYERS}
+    body = json.dumps({**manifest, 'digests': digests}).encode()
+
+    async def answer(client, method, target, timeout_s):
+        return call.Answer(200, {}, body)
+
+    monkeypatch.setattr(call.Client, 'call', answer)
+    client = origin_client.OriginClient('127.0.0.1:1')
+    with pytest.raises(call.CallFailed):
+        asyncio.run(client.read_digests(pieces.Version(MODEL, 3)))
