Streams: one that ends inside an event is broken off, whatever its framing

What callers saw: a stream whose framing, in chunks or with a length, ends properly inside an event reached them with the torn event, framed as complete.

Cause: only streams that end with their connection were asked whether they end inside an event.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -190,23 +190,24 @@
     def record_ending(self, ending: upstream.Ending, failure: str) -> None:
         """Record how the exchange ended, and whether the answer is complete.
 
-        A stream that ends with its connection has to end with an event, as nothing
+        A stream that ends inside an event has been broken off, even if its framing is
+        complete. One that ends with its connection has to end with an event, as nothing
         else tells that it is complete.
         """
         self.is_complete = ending is upstream.Ending.COMPLETE
         self.broken_reason = failure
         if self.is_complete and self._is_torn():
             self.is_complete = False
-            self.broken_reason = 'closed by the server inside a stream'
+            self.broken_reason = 'ended by the server inside a stream'
 
     def _is_torn(self) -> bool:
-        return (
-            self.call.route.kind is routes.RouteKind.STREAM
-            and self.head is not None
-            and self.head.ends_at_close
-            and self.is_stream
-            and not self.splitter.is_between_events
-        )
+        head = self.head
+        is_stream_route = self.call.route.kind is routes.RouteKind.STREAM
+        if head is None or not is_stream_route or not self.is_stream:
+            return False
+        if head.ends_at_close:
+            return not self.splitter.is_between_events
+        return self.splitter.is_inside_event
 
     @property
     def waits_for_caller(self) -> bool:
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -40,7 +40,12 @@
     @property
     def is_between_events(self) -> bool:
         """Tell whether an event, new or not, is the last thing fed since `reset`."""
-        return self._has_event and not self._buffer.strip(b'\r\n')
+        return self._has_event and not self.is_inside_event
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Tell whether the last event fed is not complete."""
+        return bool(self._buffer.strip(b'\r\n'))
 
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes, and return the new events that they complete.
