Answers: framing without end is cut off long before the call's limit

What other operators saw: a server that sent bytes without end used up the memory of the machine that had called it. Here memory is bounded; but interim answers, sizes and extensions of chunks, trailers and bodies of answers to other calls were read until the call's limit.

Cause: only the bytes before a body and those of the body were counted, and each interim answer began a new count.

All that is received besides bodies now counts as framing, with a limit that grows with the body, and bodies of other answers have one of their own.

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -29,6 +29,9 @@
 USER_TIMEOUT_MS = 3000  # a connection with bytes unacknowledged for longer is closed
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Bytes of chunk framing for each byte of a body; a chunk of one byte has five.
+MAX_FRAMING_RATIO = 16
+MAX_STRAY_BYTES = 8 * 1024 * 1024  # of the bodies of late answers to earlier requests
 MAX_STRAY_ANSWERS = 2  # late answers to earlier requests that are skipped
 _NO_BODY = frozenset((204, 304))
 _METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
@@ -186,7 +189,9 @@
         self._is_stray = False
         self._stray_count = 0
         self._head_bytes = 0
+        self._received_bytes = 0
         self._body_bytes = 0
+        self._stray_bytes = 0
         self._ends_at_close = False
         self._is_complete = False
         self.failure = ''
@@ -222,6 +227,7 @@
         if self._ended.done():
             self._conn.keep_alive = False
             return
+        self._received_bytes += len(received)
         if not self._in_body:
             self._head_bytes += len(received)
         try:
@@ -230,6 +236,8 @@
             self._fail(f'malformed: {exc}')
         if not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
             self._fail('head is larger than the limit')
+        if self._has_excess_framing():
+            self._fail('framing is larger than the limit')
 
     def end_with_connection(self, error: Exception | None) -> None:
         """End the exchange, unless it has ended, because the connection was closed."""
@@ -282,6 +290,9 @@
             self._conn.keep_alive = False
             return
         if self._is_stray:
+            self._stray_bytes += len(chunk)
+            if self._stray_bytes > MAX_STRAY_BYTES:
+                self._fail('answers to other calls are larger than the limit')
             return
         self._body_bytes += len(chunk)
         if self._body_bytes > MAX_BODY_BYTES:
@@ -317,6 +328,15 @@
         if self._ended.done():
             self._conn.keep_alive = False
 
+    def _has_excess_framing(self) -> bool:
+        """Tell whether far more was received than heads and bodies account for.
+
+        Interim answers, sizes and extensions of chunks, and trailers may have no end.
+        """
+        body_bytes = self._body_bytes + self._stray_bytes
+        framing_bytes = self._received_bytes - body_bytes
+        return framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
+
     def _wait_for(self, written: 'asyncio.Future[None]') -> None:
         """Receive nothing until a part of the body has been written."""
         if written.done():
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -134,6 +134,10 @@
     document = stand.configuration(2)
     for route in document['routes']:
         route['targetLatencyMs'] = OBJECTIVE_MS
+    chat = document['routes'][0]
+    document['routes'].append(
+        {**chat, 'name': 'r/live/', 'prefix': '/live/', 'streamResume': False}
+    )
     return document
 
 
@@ -353,6 +357,47 @@
     asyncio.run(check())
 
 
+# What no answer can come of, however long it goes on.
+FRAMING = {
+    'informational heads': ANSWERS['informational heads'],
+    'chunk size': (_SIGNED + _CHUNKED, b'0' * 4096),
+    'chunk extension': ANSWERS['chunk extension'],
+    'trailer': ANSWERS['trailer'],
+    'body of another call': ANSWERS['body of another call'],
+    'extension after an event': (
+        _SIGNED + _CHUNKED + b'10\r\nid: 1\ndata: xxx\n\n\r\n4;',
+        b'x' * 4096,
+    ),
+}
+MAX_UNPARSED_BYTES = 32 * 1024 * 1024  # with what sockets on both sides hold
+
+
+@pytest.mark.parametrize('path', ['/book/1', '/live/1'])
+@pytest.mark.parametrize('name', list(FRAMING))
+def test_framing_without_end_is_cut_off_before_the_time_limit(in_fleet, path, name):
+    """It was read for as long as the call might take, instead of other answers."""
+    sent = []
+    begin, unit = FRAMING[name]
+
+    async def script(seen):
+        seen.writer.write(begin.replace(b'{id}', seen.request_id.encode()))
+        while sum(sent) < MAX_SENT_BYTES:
+            seen.writer.write(unit)
+            await seen.writer.drain()
+            sent.append(len(unit))
+            await asyncio.sleep(0)
+
+    server = stand.Server('a', script)
+
+    async def check(fleet):
+        got = await fleet.call(path, deadline_ms=4000)
+        assert got.status == 502 or not got.whole
+        assert sum(sent) < MAX_UNPARSED_BYTES
+        await fleet.until(lambda: server.closed == 1)
+
+    in_fleet(check, server)
+
+
 def _record_with_slots(server, slots):
     record = server.record()
     return lambda **fields: {**record, 'slots': slots, **fields}
