Crash history: a sound part that was blocked is cleared by an early trial

The part that sound calls share was blocked in its place, and for 120 s every call with it was refused.

Cause: the shared part is in each crash of the guilty one, and in crashes at which an entry had sound calls alone. Nothing with it had been answered yet, so it was accused first. After that nothing with it was sent, so that no answer could clear it.

A call with the blocked part and without its rivals, the parts that explain most of its crashes beside it, is now let pass as a trial one second after the newest crash. Its answer clears the sound part, and the rival is accused. Calls with the guilty part have the shared one, its rival, and are no early trials.

--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -25,6 +25,9 @@
 FIRST_BLOCK_S = 120.0  # since the newest crash; doubles when a trial call crashes too
 MAX_BLOCK_S = 3600.0  # also how long a block is kept after it has lapsed
 TRIAL_TIMEOUT_S = 30.0  # without an outcome, until another call is let pass
+# The same for a call without the parts that may be to blame in place of its own.
+EARLY_TRIAL_S = 1.0  # since the newest crash
+EARLY_TRIAL_TIMEOUT_S = 2.0
 MAX_BLOCKS = 64
 # An answer that is reported again seems later by the delay of the report. A difference
 # up to this is no news, so that the time does not grow as entries pass it on.
@@ -114,6 +117,14 @@
             return self.lapses_at
         return max(self.lapses_at, self.tried_at + TRIAL_TIMEOUT_S)
 
+    @property
+    def early_trial_due_at(self) -> float:
+        """When the next early trial call is due."""
+        due_at = self.at + EARLY_TRIAL_S
+        if self.tried_at is None:
+            return due_at
+        return max(due_at, self.tried_at + EARLY_TRIAL_TIMEOUT_S)
+
     def add_crash(self, incarnation: notices.Incarnation, at: float) -> bool:
         """Add a later crash, and return whether the block had lapsed before it."""
         had_lapsed = at >= self.lapses_at
@@ -215,13 +226,18 @@
             if not self._applies(parts, part):
                 continue
             block = self._blocks[part]
-            retry_in_s = block.trial_due_at - now
-            if retry_in_s > 0 or not self._owns_trial(part):
+            retry_in_s = _get_retry_s(
+                block,
+                now,
+                is_early=not block.lapses and self._evidence.tells_apart(parts, part),
+                owns_trial=self._owns_trial(part),
+            )
+            if retry_in_s:
                 return Block(
                     part,
                     block.crash_count,
                     now - block.at,
-                    retry_in_s if retry_in_s > 0 else TRIAL_TIMEOUT_S,
+                    retry_in_s,
                     block.source,
                 )
         return None
@@ -483,6 +499,23 @@
             _log('part.suspected', part, block, now, log)
 
 
+def _get_retry_s(
+    block: _KnownBlock, now: float, *, is_early: bool, owns_trial: bool
+) -> float:
+    """Return in how many seconds a call with a blocked part may pass, 0 for now.
+
+    An early trial is made by a call that tells the part from its rivals. Otherwise a
+    part that sound calls share, and that is blocked in place of another, would stay
+    blocked: nothing with it is answered.
+    """
+    due_at = block.early_trial_due_at if is_early else block.trial_due_at
+    if now < due_at:
+        return due_at - now
+    if owns_trial:
+        return 0.0
+    return EARLY_TRIAL_TIMEOUT_S if is_early else TRIAL_TIMEOUT_S
+
+
 def _log(
     event: str,
     part: str,
--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -30,6 +30,7 @@
 # That count, of one moment. A part that was answered before may be in all of them, such
 # as the first part of all prompts of a workspace: for it, a moment counts once.
 MAX_CRASHES_OF_MOMENT = 2
+MIN_SHARED_CRASHES = 2  # of a part and a rival, and half of the crashes of the part
 MIN_SERVERS = 2  # a single server that ends again and again is at fault itself
 
 MAX_CRASHES = 256
@@ -118,6 +119,7 @@
         self.cleared_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
         self._uncleared: dict[str, Incarnations] = {}
+        self._rivals: dict[str, frozenset[str]] = {}  # as far as asked for
         # Whether `explain` may return something else than before.
         self.is_changed = False
 
@@ -148,6 +150,7 @@
                 self._discard_uncleared(part, incarnation)
             else:
                 self._uncleared.setdefault(part, set()).add(incarnation)
+        self._rivals.clear()
         return True
 
     def add_answer(self, part: str, at: float) -> Incarnations:
@@ -252,6 +255,33 @@
             suspects.update(found)
         return frozenset(suspects & suspicious)
 
+    def tells_apart(self, parts: Collection[str], part: str) -> bool:
+        """Return whether the outcome of a call tells a part from its rivals.
+
+        It does if the part has any, and the call has none of them.
+        """
+        rivals = self._rivals.get(part)
+        if rivals is None:
+            rivals = self._rivals[part] = self.list_rivals(part)
+        return bool(rivals) and rivals.isdisjoint(parts)
+
+    def list_rivals(self, part: str) -> frozenset[str]:
+        """Return the parts that explain the most crashes of a part beside it.
+
+        There are none unless they explain at least half of its crashes.
+        """
+        crashes = self.get_uncleared(part)
+        shared = collections.Counter(
+            other
+            for each in crashes
+            for other in self.crashes[each].parts
+            if other != part and each in self.get_uncleared(other)
+        )
+        most = max(shared.values(), default=0)
+        if most < MIN_SHARED_CRASHES or 2 * most < len(crashes):
+            return frozenset()
+        return frozenset(other for other, count in shared.items() if count == most)
+
     def list_uncleared(self, parts: Iterable[str]) -> Incarnations:
         """Return the crashes of some parts that no later answer has cleared."""
         return set().union(*(self._uncleared.get(part, ()) for part in parts))
@@ -272,6 +302,7 @@
             self._discard_uncleared(part, incarnation)
 
     def _discard_uncleared(self, part: str, incarnation: notices.Incarnation) -> None:
+        self._rivals.clear()
         crashes = self._uncleared.get(part, set())
         crashes.discard(incarnation)
         if not crashes:
