Streams: a framed body without a type or an event is no torn stream

What callers saw: a 502 for an answer on a streaming route that states no media type and holds no event, such as a short text with its length.

Cause: an answer without a media type may be a stream, and bytes that end no event counted as a torn one.

Only a stated type or an event tells now that a framed body is a stream.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -207,7 +207,9 @@
             return False
         if head.ends_at_close:
             return not self.splitter.is_between_events
-        return self.splitter.is_inside_event
+        # Without a media type, only an event tells that a body is a stream.
+        is_known_stream = self.splitter.has_event or bool(head.media_type)
+        return is_known_stream and self.splitter.is_inside_event
 
     @property
     def waits_for_caller(self) -> bool:
--- a/src/primrosesaddle/calls/events.py
+++ b/src/primrosesaddle/calls/events.py
@@ -17,7 +17,8 @@
     """Returns complete events only, and each event id once.
 
     `last_id` is the id of the last event returned, `event_count` the number of
-    events with an id. Events without an id are always returned.
+    events with an id. Events without an id are always returned. `has_event` is whether
+    an event, new or not, has been fed since `reset`.
     """
 
     def __init__(
@@ -35,12 +36,12 @@
         self.event_count = 0
         self._buffer = bytearray()
         self._search_from = 0
-        self._has_event = False
+        self.has_event = False
 
     @property
     def is_between_events(self) -> bool:
         """Tell whether an event, new or not, is the last thing fed since `reset`."""
-        return self._has_event and not self.is_inside_event
+        return self.has_event and not self.is_inside_event
 
     @property
     def is_inside_event(self) -> bool:
@@ -61,7 +62,7 @@
             if self._is_new(event):
                 complete.append(event)
         if begin:
-            self._has_event = True
+            self.has_event = True
             self._buffer = self._buffer[begin:]
         # Bytes searched before are not searched again, so that the work for an event
         # that arrives in many parts grows with its size, not with its square.
@@ -82,7 +83,7 @@
         """Discard the incomplete event, as after a server closed the connection."""
         self._buffer = bytearray()
         self._search_from = 0
-        self._has_event = False
+        self.has_event = False
         self._reservation.release()
 
     def _is_new(self, event: bytes) -> bool:
