Interfaces: homes, evacuations, cold servers and rules of placement are decoded

Cause: the configuration's homes, the operator's evacuations and the cold times of servers were dropped in the adapter, so that nothing could go by them. Change: they are decoded into the product's types; placement takes rules that exclude servers for a call (allowed) or for now (room), admission tells who got a slot.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -30,6 +30,7 @@
 START_DEVIATIONS = 1.0  # mean deviations that are added to the usual start time
 
 GetRequiredVersion = Callable[[str], int]
+GrantListener = Callable[[request.Call, placement.Choice], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,7 +90,10 @@
 
 
 class Admission:
-    """Gives slots of servers to calls: the most urgent first, then the oldest."""
+    """Gives slots of servers to calls: the most urgent first, then the oldest.
+
+    `grant_listeners` are called with each call that gets a slot.
+    """
 
     def __init__(
         self,
@@ -106,6 +110,7 @@
         self._clock = clock
         self._queues: dict[str, _Queue] = {}
         self._has_waiters = asyncio.Event()
+        self.grant_listeners: list[GrantListener] = []
 
     def count_waiting(self) -> int:
         """Return the number of calls that wait."""
@@ -253,6 +258,8 @@
         for member in choice.chain[1:]:
             member.backend.passing_calls += 1
         queue.granted.append(now)
+        for listener in self.grant_listeners:
+            listener(call, choice)
 
     def _compute_max_wait_s(
         self,
--- a/src/primrosesaddle/calls/intake.py
+++ b/src/primrosesaddle/calls/intake.py
@@ -184,4 +184,5 @@
         cost=request.TokenCost(incoming.prompt_tokens, incoming.answer_tokens),
         resume_from=incoming.resume_from,
         parts=incoming.parts,
+        homes=routes.compute_homes(route, workspace),
     )
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -8,7 +8,7 @@
 from primrosesaddle.calls import backends, request, routes
 from primrosesaddle.core import layers
 
-__all__ = ('Choice', 'Placer', 'ChainMember')
+__all__ = ('ChainMember', 'Choice', 'Constraints', 'Placer')
 
 # Added to the prediction for a server in another data centre or region: the round
 # trip, and the price of traffic between data centres.
@@ -36,10 +36,24 @@
     end: int
 
 
+# Returns why a server may not get a call, empty if it may.
+Constraint = Callable[[request.Call, backends.Backend], str]
 EstimateFillTime = Callable[[routes.Service], float | None]
 _PartHolder = tuple[backends.Backend, layers.Span]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Constraints:
+    """What keeps calls from servers besides the state of the servers.
+
+    `allowed` are rules that hold for the whole life of a call; waiting does not help.
+    `room` are limits that leave room again soon.
+    """
+
+    allowed: tuple[Constraint, ...] = ()
+    room: tuple[Constraint, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """The server selected for a call.
@@ -88,6 +102,7 @@
         rand: random.Random,
         clock: Callable[[], float],
         estimate_fill_time: EstimateFillTime,
+        constraints: Constraints | None = None,
     ) -> None:
         """Create a placer for an entry in a data centre.
 
@@ -96,6 +111,7 @@
         None when that is not known.
         """
         self._estimate_fill_time = estimate_fill_time
+        self._constraints = constraints or Constraints()
         self._backends = known_backends
         self._data_centre = data_centre
         self._regions = regions
@@ -189,6 +205,10 @@
         ]
         return not_ejected or able
 
+    def explain_exclusion(self, call: request.Call, backend: backends.Backend) -> str:
+        """Return why a call may not go to a server at all, empty if it may."""
+        return _find_reason(self._constraints.allowed, call, backend)
+
     def _list_able_servers(
         self, call: request.Call, service: routes.Service, required_version: int
     ) -> list[backends.Backend]:
@@ -200,6 +220,7 @@
             for backend in self._backends.list_servers(service.name)
             if self._backends.is_present(backend)
             and backend.server_id not in call.tried
+            and not self.explain_exclusion(call, backend)
             and self._get_held_version(backend, call, service, now) >= min_version
         ]
 
@@ -264,6 +285,7 @@
             for backend in self._backends.list_servers(service.name)
             if self._backends.is_usable(backend)
             and backend.server_id not in call.tried
+            and not self.explain_exclusion(call, backend)
             and backend.get_fresh_report(now) is not None
         ]
         spans = [backend.get_layers(call.model, now) for backend in reporting]
@@ -310,6 +332,8 @@
             slots -= _count_reserved_slots(call)
         if backend.count_calls(now) >= slots:
             return False
+        if _find_reason(self._constraints.room, call, backend):
+            return False
         if service.engine is None:
             return True
         unread = backend.count_unread_tokens()
@@ -348,6 +372,14 @@
         return OTHER_REGION_S
 
 
+def _find_reason(
+    rules: Iterable[Constraint], call: request.Call, backend: backends.Backend
+) -> str:
+    """Return the reason of the first rule that excludes a server, empty for none."""
+    reasons = (rule(call, backend) for rule in rules)
+    return next((reason for reason in reasons if reason), '')
+
+
 def _count_layers(service: routes.Service) -> int:
     """Return the number of layers of a service's model, 0 for a plain service."""
     return service.engine.layer_count if service.engine else 0
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -34,7 +34,8 @@
     is set once an answer of a server has been sent as a whole. `parts` holds the ids
     of the parts of its prompt that other calls may share. `is_trial` is set when it is
     to show whether one of them still crashes servers, `was_cut_off` when a server that
-    may have run it closed the connection.
+    may have run it closed the connection. `homes` lists the regions in which it may be
+    served and stored, None for all.
     """
 
     call_id: str
@@ -66,6 +67,7 @@
     parts: tuple[str, ...] = ()
     is_trial: bool = False
     was_cut_off: bool = False
+    homes: frozenset[str] | None = None
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -36,7 +36,8 @@
 
     `targets` lists services with their weights. Rank 0 is the most urgent.
     `objective_s` is the objective for the time to the first byte. `resumable` is
-    whether a stream that broke off can be continued at another server.
+    whether a stream that broke off can be continued at another server. `homes` lists
+    the regions in which its calls may be served and stored, None for all.
     """
 
     name: str
@@ -51,6 +52,7 @@
     public: bool = False
     resumable: bool = False
     pause_s: float = 0.0
+    homes: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -112,20 +114,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """One service: a group of equivalent backend servers, or the origin of weights."""
+    """One service: a group of equivalent backend servers, or the origin of weights.
+
+    A server that has just started is cold for `cold_start_s`, and bears
+    `cold_calls_per_s` calls a second meanwhile; 0 where a service states none.
+    """
 
     name: str
     max_connections: int
     engine: EngineProfile | None = None
     origin: Origin | None = None
+    cold_start_s: float = 0.0
+    cold_calls_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
-    """The owner of bearer keys; its rank takes precedence over a route's."""
+    """The owner of bearer keys; its rank takes precedence over a route's.
+
+    `homes` lists the regions in which its calls may be served and stored, None for all.
+    """
 
     name: str
     rank: int | None = None
+    homes: frozenset[str] | None = None
 
 
 def compute_rank(route: Route, workspace: Workspace | None) -> int:
@@ -141,6 +153,19 @@
     return min(RANK_COUNT - 1, max(0, workspace_rank) * _ROUTE_RANKS + route_rank)
 
 
+def compute_homes(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions that both a route and its caller's workspace allow.
+
+    Returns None for all regions.
+    """
+    stated = [
+        owner.homes
+        for owner in (route, workspace)
+        if owner is not None and owner.homes is not None
+    ]
+    return frozenset.intersection(*stated) if stated else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Limits of a caller's request; sizes in bytes, times in seconds."""
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -74,8 +74,9 @@
 class View:
     """Published records by key; an older revision never replaces a newer one.
 
-    `configuration` and `servers` (by server id) are the decoded records, `version_ages`
-    the ages of announced versions. `listeners` are called after a change.
+    `configuration`, `servers` (by server id) and `evacuations` (by key) are the decoded
+    records, `version_ages` the ages of announced versions. `listeners` are called after
+    a change.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         self._pause_relevant_until = 0.0
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
+        self.evacuations: dict[str, servers.Evacuation] = {}
         self.version_ages = versionages.VersionAges(clock, assumed_age_s)
         self.revision = 0
         self.listeners: list[Listener] = []
@@ -201,6 +203,15 @@
             return self._adopt_configuration(record, item, origin.source)
         if isinstance(record, servers.BackendServer):
             return self._adopt_server(record, item, origin.source)
+        if isinstance(record, servers.Evacuation):
+            self.evacuations[item.key] = record
+            journal.info(
+                'evacuation.requested',
+                data_centre=record.data_centre,
+                revision=item.revision,
+                source=origin.source,
+            )
+            return True
         if isinstance(record, servers.WantedVersion):
             return self._adopt_version(record, item, origin)
         return False
@@ -307,6 +318,9 @@
             self._expiring_at[item.key] = self._clock() + grace_s
             journal.info('server.lapsed', key=item.key, kept_s=round(grace_s, 2))
             return False
+        if self.evacuations.pop(item.key, None) is not None:
+            journal.info('evacuation.ended', key=item.key, source=origin.source)
+            return True
         return self._drop_server(item.key, f'removed, reported by {origin.source}')
 
     def _remaining_grace_s(self, key: str, origin: _Origin) -> float:
--- a/src/primrosesaddle/fleet/node.py
+++ b/src/primrosesaddle/fleet/node.py
@@ -8,7 +8,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Time limits in seconds and retry budgets, as set by the deployment."""
+    """Time limits in seconds and retry budgets, as set by the deployment.
+
+    Within `evacuate_s` of an operator's request nothing more is sent to the servers of
+    a data centre. A cold server bears its calls a second times `cold_overage`, and
+    `cold_slack` calls more.
+    """
 
     drain_s: float
     grace_s: float
@@ -19,6 +24,9 @@
     version_s: float
     directory_ttl_s: float
     contact_s: float
+    evacuate_s: float = 5.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/primrosesaddle/fleet/servers.py
+++ b/src/primrosesaddle/fleet/servers.py
@@ -5,7 +5,7 @@
 
 from primrosesaddle.core import layers
 
-__all__ = ('BackendServer', 'WantedVersion')
+__all__ = ('BackendServer', 'Evacuation', 'WantedVersion')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,7 +13,8 @@
     """One start of a backend server.
 
     `models` maps a model to the layers that the server holds of it. `start_time_ms` is
-    when the server started, 0 if not published.
+    when the server started, 0 if not published. `cold_remaining_s` is for how many more
+    seconds the server was cold when it published this.
     """
 
     server_id: str
@@ -24,6 +25,7 @@
     leaving: bool
     models: Mapping[str, layers.Span]
     start_time_ms: int = 0
+    cold_remaining_s: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,3 +34,10 @@
 
     model: str
     version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """An operator's request to send nothing to the servers of a data centre."""
+
+    data_centre: str
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -104,6 +104,8 @@
 CONFIG_KEY = 'op/config'
 VERSION_PREFIX = 'op/version/'
 SERVER_PREFIX = 'servers/'
+# Followed by the name of a data centre whose servers are to get nothing.
+EVACUATION_PREFIX = 'op/evacuate/'
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -45,6 +45,7 @@
     public: bool = False
     stream_resume: bool = False
     gap_target_ms: float = 0
+    allowed_regions: list[str] | None = None
 
 
 class _UsualTokens(msgspec.Struct):
@@ -78,6 +79,10 @@
     # Address that weights are read from; a service with an origin has no servers.
     origin: str = ''
     zone: str = ''
+    # Seconds for which a server is cold after its start, and the requests a second that
+    # it bears meanwhile.
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -91,6 +96,7 @@
     name: str
     api_keys: list[str] = msgspec.field(default_factory=list)
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -133,7 +139,12 @@
     born: Count = 0
 
 
-Record = routes.Configuration | servers.BackendServer | servers.WantedVersion
+Record = (
+    routes.Configuration
+    | servers.BackendServer
+    | servers.Evacuation
+    | servers.WantedVersion
+)
 
 _CONFIG = msgspec.json.Decoder(_Config)
 _VERSION = msgspec.json.Decoder(_Version)
@@ -155,6 +166,8 @@
     if key.startswith(names.VERSION_PREFIX):
         item = jsonbody.decode_body(body, _VERSION)
         return servers.WantedVersion(item.model, item.version)
+    if key.startswith(names.EVACUATION_PREFIX):
+        return servers.Evacuation(key[len(names.EVACUATION_PREFIX) :])
     if key.startswith(names.SERVER_PREFIX):
         server_id = key[len(names.SERVER_PREFIX) :]
         return _make_server(server_id, jsonbody.decode_body(body, _SERVER))
@@ -187,6 +200,7 @@
         item.state == names.STATE_DRAINING,
         make_spans(item.models, item.layers),
         item.born,
+        max(0.0, item.cold_remaining_ms) / _MS,
     )
 
 
@@ -203,7 +217,12 @@
     workspaces = None
     if item.tenants is not None:
         workspaces = [
-            (routes.Workspace(tenant.name, tenant.priority), tenant.api_keys)
+            (
+                routes.Workspace(
+                    tenant.name, tenant.priority, _make_homes(tenant.allowed_regions)
+                ),
+                tenant.api_keys,
+            )
             for tenant in item.tenants
         ]
     return routes.make_configuration(
@@ -230,9 +249,15 @@
         item.public,
         item.stream_resume,
         item.gap_target_ms / _MS,
+        _make_homes(item.allowed_regions),
     )
 
 
+def _make_homes(regions: list[str] | None) -> frozenset[str] | None:
+    """Return the regions of a list, None for all if it is empty or missing."""
+    return frozenset(regions) if regions else None
+
+
 def _make_service(item: _Service) -> routes.Service:
     origin = None
     if item.origin:
@@ -254,7 +279,14 @@
             engine.chunk_bytes,
             max((model.warm_s for model in engine.models), default=0),
         )
-    return routes.Service(item.name, item.max_connections, profile, origin)
+    return routes.Service(
+        item.name,
+        item.max_connections,
+        profile,
+        origin,
+        item.cold_start_s,
+        item.cold_per_s,
+    )
 
 
 def _make_limits(item: _Limits) -> routes.Limits:
--- a/src/primrosesaddle/platform/settings.py
+++ b/src/primrosesaddle/platform/settings.py
@@ -48,6 +48,9 @@
     ttl_max_s: float = 5
     # From a start or a restored path until the bounds apply to a process.
     contact_ms: float = msgspec.field(name='contactMs', default=3000)
+    evacuate_ms: float = msgspec.field(name='evacuateMs', default=5000)
+    cold_overage: float = msgspec.field(name='coldOverage', default=1)
+    cold_slack: float = msgspec.field(name='coldSlack', default=0)
 
 
 class _Provider(msgspec.Struct):
@@ -124,4 +127,7 @@
         version_s=decoded.version_ms / _MS,
         directory_ttl_s=decoded.ttl_max_s,
         contact_s=decoded.contact_ms / _MS,
+        evacuate_s=decoded.evacuate_ms / _MS,
+        cold_overage=decoded.cold_overage,
+        cold_slack=decoded.cold_slack,
     )
