--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -17,6 +17,10 @@
 SUSPECT_FIRST_S = 0.25
 SUSPECT_CEILING_S = 2.0
 FAILURE_WEIGHT = 0.15  # weight of the newest outcome in the moving failure share
+# The failure share halves in this time without an outcome, so that a server which gets
+# no calls because of it is tried again: four seconds after one failure, and within two
+# minutes after many.
+FAILURE_HALF_LIFE_S = 20.0
 # A server is ejected when its failure share exceeds its service's median by this much.
 EJECT_SHARE = 0.35
 LOAD_STALE_S = 1.0  # how long a load that came with an answer is used
@@ -46,16 +50,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Backend:
-    """One backend server, and the calls that this entry runs there.
+    """One backend server, and the calls that this entry runs there; `clock` in seconds.
 
     `unread_tokens` maps the id of a call to the size of its prompt until the first
     event of the answer. `other_calls` is the number of calls that other entries have
-    there, as of `other_calls_at`. `passing_calls` counts the calls of this entry
+    there, as of `other_calls_at`. `failure_share_before` is the failure share as of
+    `last_outcome_at`. `passing_calls` counts the calls of this entry
     that begin at another server of a chain and pass through this one. Until
     `quiet_until` the server wants no calls.
     """
 
     record: servers.BackendServer
+    clock: Callable[[], float]
     calls: dict[str, request.Call] = dataclasses.field(default_factory=dict)
     unread_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     report: Report | None = None
@@ -63,7 +69,8 @@
     other_calls_at: float = 0.0
     suspect_until: float = 0.0
     suspect_count: int = 0
-    failure_share: float = 0.0
+    failure_share_before: float = 0.0
+    last_outcome_at: float = 0.0
     is_removed: bool = False
     passing_calls: int = 0
     quiet_until: float = 0.0
@@ -85,6 +92,14 @@
         record_start_ms = self.record.start_time_ms
         return report is not None and 0 < record_start_ms < report.start_time_ms
 
+    @property
+    def failure_share(self) -> float:
+        """Return the moving share of attempts that failed, which fades with time."""
+        if not self.failure_share_before:
+            return 0.0
+        half_lives = (self.clock() - self.last_outcome_at) / FAILURE_HALF_LIFE_S
+        return self.failure_share_before * 0.5**half_lives
+
     def get_fresh_report(self, now: float) -> Report | None:
         """Return the agent's report, None when it is stale or of another start."""
         report = self.report
@@ -161,7 +176,9 @@
 
     def record_outcome(self, *, failed: bool) -> None:
         """Update the failure share with the outcome of an attempt."""
-        self.failure_share += FAILURE_WEIGHT * (float(failed) - self.failure_share)
+        share = self.failure_share
+        self.failure_share_before = share + FAILURE_WEIGHT * (float(failed) - share)
+        self.last_outcome_at = self.clock()
         if not failed:
             self.suspect_count = 0
 
@@ -208,7 +225,9 @@
         for server_id, record in usable.items():
             known = self._by_id.get(server_id)
             if known is None:
-                known = Backend(record, report=self._reports.get(record.address))
+                known = Backend(
+                    record, self._clock, report=self._reports.get(record.address)
+                )
                 known.quiet_until = self._notices.get_quiet_until(known.incarnation)
                 self._by_id[server_id] = known
             known.record = record
