Homes and evacuations: placement, admission and the directory go by them

Cause: allowedRegions and op/evacuate/ were decoded and nothing went by them. Calls went to servers outside their homes and in evacuated data centres, the directory named entries anywhere, and calls at a home without room held up all that waited behind them. Change: restrictions/ decides by region and data centre; placement, chains, retries and estimates leave out what it excludes, and a call is checked once more when its connection is open. What no allowed server can take is refused at once. A waiting call follows a list of regions that changes. The directory names entries at home or in the caller's region.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from primrosesaddle.calls import placement, request, routes
+from primrosesaddle.calls import backends, placement, request, routes
 from primrosesaddle.core import verdict
 
 __all__ = ('Admission',)
@@ -71,6 +71,18 @@
         """Return how many calls wait with this rank or a more urgent one."""
         return sum(len(waiting) for waiting in self.ranks[: rank + 1])
 
+    def has_rival(self, call: request.Call) -> bool:
+        """Return whether a call waits that goes first wherever this one may go.
+
+        That is one with its rank or a more urgent one, and with its homes or more.
+        """
+        return any(
+            waiter.call.homes is None
+            or (call.homes is not None and call.homes <= waiter.call.homes)
+            for waiting in self.ranks[: _get_queue_rank(call) + 1]
+            for waiter in waiting
+        )
+
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.ranks)
 
@@ -125,11 +137,14 @@
         """
         now = self._clock()
         queue = self._queues.setdefault(service.name, _Queue())
-        if not queue.count_ahead_of(_get_queue_rank(call)):
+        if not queue.has_rival(call):
             choice = self._choose_server(call, service)
             if choice is not None:
                 self._take_slot(queue, call, choice, now)
                 return choice
+        exclusion = self._placer.explain_full_exclusion(call, service)
+        if exclusion:
+            raise self._make_refusal(call, None, f'excluded: {exclusion}')
         ready_s = self._estimate_ready_s(call, service)
         max_wait_s = self._compute_max_wait_s(call, service, queue, ready_s)
         expected_wait_s = self._estimate_wait_s(call, service, queue, ready_s)
@@ -157,23 +172,42 @@
         self._queues.setdefault(service, _Queue()).record_start(start_s)
 
     def grant_slots(self, service: str) -> None:
-        """Grant free slots to the calls that wait for a service."""
+        """Grant free slots to the calls that wait for a service.
+
+        Calls whose homes are full do not hold up those that may go elsewhere.
+        """
         queue = self._queues.get(service)
         if queue is None:
             return
-        now = self._clock()
+        full_homes: set[frozenset[str] | None] = set()
         for waiting in queue.ranks:
-            while waiting:
-                waiter = waiting[0]
-                if waiter.fut.done():
-                    waiting.popleft()
-                    continue
-                choice = self._choose_server(waiter.call, waiter.service)
-                if choice is None:
-                    return
-                waiting.popleft()
-                self._take_slot(queue, waiter.call, choice, now)
-                waiter.fut.set_result(choice)
+            self._grant_rank(queue, waiting, full_homes)
+
+    def refuse_excluded(self) -> None:
+        """Refuse the waiting calls that may no longer go to any server.
+
+        Called when what restricts calls may have changed.
+        """
+        for queue in self._queues.values():
+            for waiter in queue.list_waiters():
+                reason = self._placer.explain_full_exclusion(
+                    waiter.call, waiter.service
+                )
+                if reason:
+                    refusal = self._make_refusal(
+                        waiter.call, None, f'excluded: {reason}'
+                    )
+                    waiter.refuse(refusal)
+
+    def may_serve(self, call: request.Call, backend: backends.Backend) -> bool:
+        """Return whether a call may go to a server at all."""
+        return not self._placer.explain_exclusion(call, backend)
+
+    def explain_exclusion(self, call: request.Call, choice: placement.Choice) -> str:
+        """Return why a call may no longer go where it was placed, empty if it may."""
+        members = [member.backend for member in choice.chain] or [choice.backend]
+        reasons = (self._placer.explain_exclusion(call, backend) for backend in members)
+        return next((reason for reason in reasons if reason), '')
 
     def has_server(self, call: request.Call, service: routes.Service) -> bool:
         """Return whether a server that was not tried can run a call, or soon can."""
@@ -230,6 +264,36 @@
         finally:
             call.queued_s += self._clock() - wait_began_at
 
+    def _grant_rank(
+        self,
+        queue: _Queue,
+        waiting: collections.deque[_Waiter],
+        full_homes: set[frozenset[str] | None],
+    ) -> None:
+        """Grant slots to the calls of one rank, in order, until none is free.
+
+        Homes without a free slot are added to `full_homes`; None stands for all.
+        """
+        passed_over: collections.deque[_Waiter] = collections.deque()
+        while waiting and None not in full_homes:
+            waiter = waiting.popleft()
+            if waiter.fut.done():
+                continue
+            homes = waiter.call.homes
+            if homes in full_homes or not self._grant_slot(queue, waiter):
+                full_homes.add(homes)
+                passed_over.append(waiter)
+        waiting.extendleft(reversed(passed_over))
+
+    def _grant_slot(self, queue: _Queue, waiter: _Waiter) -> bool:
+        """Grant a slot to a call that waits, and return whether there was one."""
+        choice = self._choose_server(waiter.call, waiter.service)
+        if choice is None:
+            return False
+        self._take_slot(queue, waiter.call, choice, self._clock())
+        waiter.fut.set_result(choice)
+        return True
+
     def _refuse_expired(self, queue: _Queue) -> None:
         now = self._clock()
         for waiting in queue.ranks:
@@ -306,7 +370,7 @@
         """
         ahead = queue.count_ahead_of(_get_queue_rank(call))
         if ready_s is not None and call.spent_s:
-            if ahead < self._placer.count_slots(service):
+            if ahead < self._placer.count_slots(call, service):
                 return ready_s
         rate = queue.compute_grant_rate(self._clock())
         return ahead / rate if rate else 0.0
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -104,6 +104,7 @@
             self._deps.view.configuration,
             self._deps.backends,
             self._deps.rand,
+            lambda backend: self._deps.admission.may_serve(call, backend),
         )
         contest = race.Race()
         contest.start(self._run_attempt(call, sink, service, contest))
@@ -175,8 +176,11 @@
             attempt.abort_outdated(required_version)
             self._deps.pool.release(backend.server_id, conn)
             return False
-        if not self._deps.backends.accepts_calls(backend):
-            # It has left, or asked for no calls, while the connection was opened.
+        exclusion = self._deps.admission.explain_exclusion(call, attempt.choice)
+        if exclusion or not self._deps.backends.accepts_calls(backend):
+            # It has left, asked for no calls, or may get none of this call any more,
+            # since the connection began to be opened.
+            attempt.broken_reason = exclusion
             self._release_connection(backend, conn)
             self._log_attempt(attempt, call, 'withdrawn')
             return False
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -1,5 +1,6 @@
 """Placement: selects the backend server that is predicted to answer a call first."""
 
+import collections
 import dataclasses
 import random
 import typing
@@ -144,11 +145,12 @@
             return self._select_chain(call, service, required_version, now)
         return None
 
-    def count_slots(self, service: routes.Service) -> int:
-        """Return the number of slots of a service's servers, used ones included."""
+    def count_slots(self, call: request.Call, service: routes.Service) -> int:
+        """Return the slots of the servers that a call may go to, used ones included."""
         return sum(
             backend.record.slots
             for backend in self._backends.list_servers(service.name)
+            if not self.explain_exclusion(call, backend)
         )
 
     def estimate_ready_s(
@@ -167,6 +169,7 @@
         reported = [
             backend.ready_in_s(now)
             for backend in self._backends.list_servers(service.name)
+            if not self.explain_exclusion(call, backend)
         ]
         known = sorted(ready_s for ready_s in reported if ready_s is not None)
         return known[len(known) // 2] if known else self._estimate_fill_time(service)
@@ -209,6 +212,21 @@
         """Return why a call may not go to a server at all, empty if it may."""
         return _find_reason(self._constraints.allowed, call, backend)
 
+    def explain_full_exclusion(
+        self, call: request.Call, service: routes.Service
+    ) -> str:
+        """Return why a call may go to no server of a service, empty if it may to one.
+
+        It is empty too for a service without servers.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        for backend in self._backends.list_servers(service.name):
+            reason = self.explain_exclusion(call, backend)
+            if not reason:
+                return ''
+            counts[reason] += 1
+        return ' '.join(f'{reason}:{count}' for reason, count in counts.items())
+
     def _list_able_servers(
         self, call: request.Call, service: routes.Service, required_version: int
     ) -> list[backends.Backend]:
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -35,7 +35,8 @@
     of the parts of its prompt that other calls may share. `is_trial` is set when it is
     to show whether one of them still crashes servers, `was_cut_off` when a server that
     may have run it closed the connection. `homes` lists the regions in which it may be
-    served and stored, None for all.
+    served and stored, None for all, `homes_version` the version of the configuration
+    by which they were last brought up to date, 0 for that of its arrival.
     """
 
     call_id: str
@@ -68,6 +69,7 @@
     is_trial: bool = False
     was_cut_off: bool = False
     homes: frozenset[str] | None = None
+    homes_version: int = 0
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import hashlib
 from collections.abc import Mapping, Sequence
 
@@ -202,6 +203,30 @@
         """Return the workspace that owns a bearer key, or None."""
         return self._workspaces.get(_digest(key))
 
+    def find_workspace_by_name(self, name: str) -> Workspace | None:
+        """Return the workspace of a name that owns a key, or None."""
+        return self._workspaces_by_name.get(name)
+
+    def get_host_homes(self, host: str) -> frozenset[str] | None:
+        """Return the regions that all routes of a host with homes allow.
+
+        Returns None for all regions. Workspaces are unknown before a call is made.
+        """
+        return self._host_homes.get(host)
+
+    @functools.cached_property
+    def _workspaces_by_name(self) -> Mapping[str, Workspace]:
+        return {workspace.name: workspace for workspace in self._workspaces.values()}
+
+    @functools.cached_property
+    def _host_homes(self) -> Mapping[str, frozenset[str]]:
+        found: dict[str, frozenset[str]] = {}
+        for route in self._routes.values():
+            if route.homes is not None:
+                known = found.get(route.host, route.homes)
+                found[route.host] = known & route.homes
+        return found
+
     @property
     def origin(self) -> Origin | None:
         """Return the origin of weights, or None when no service has one."""
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -24,7 +24,7 @@
 
 Answer = tuple[int, bytes]
 IsReady = Callable[[], bool]
-ListAddresses = Callable[[str, str], list[str]]
+ListAddresses = Callable[[str, str, str], list[str]]
 
 
 class CallApplication(adapter.CallApplication):
@@ -310,14 +310,15 @@
 ) -> Callable[[str, dict[str, str]], Answer]:
     """Return the handler of the directory, which lists entries for callers.
 
-    `list_addresses` takes the caller's region and data centre; `ttl_s` is the time in
-    seconds for which callers may use an answer.
+    `list_addresses` takes the host that is asked for, and the caller's region and data
+    centre; `ttl_s` is the time in seconds for which callers may use an answer.
     """
 
     def handle(path: str, query: dict[str, str]) -> Answer:
         if path != names.RESOLVE_PATH:
             return 404, b'{}'
-        known = list_addresses(query.get('region', ''), query.get('zone', ''))
+        host = query.get('name', '').lower()
+        known = list_addresses(host, query.get('region', ''), query.get('zone', ''))
         if not known:
             return 503, b'{}'
         return 200, msgspec.json.encode({'addresses': known, 'ttlS': ttl_s})
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -167,7 +167,8 @@
         item = jsonbody.decode_body(body, _VERSION)
         return servers.WantedVersion(item.model, item.version)
     if key.startswith(names.EVACUATION_PREFIX):
-        return servers.Evacuation(key[len(names.EVACUATION_PREFIX) :])
+        data_centre = key[len(names.EVACUATION_PREFIX) :]
+        return servers.Evacuation(data_centre) if data_centre else None
     if key.startswith(names.SERVER_PREFIX):
         server_id = key[len(names.SERVER_PREFIX) :]
         return _make_server(server_id, jsonbody.decode_body(body, _SERVER))
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -14,7 +14,7 @@
 
 __all__ = ('Adapter', 'Applications', 'CallApplication')
 
-ListAddresses = Callable[[str, str], list[str]]
+ListAddresses = Callable[[str, str, str], list[str]]
 
 
 class CallApplication(httputil.HTTPServerConnectionDelegate, abc.ABC):
@@ -54,8 +54,8 @@
     ) -> httputil.HTTPServerConnectionDelegate:
         """Return the application that lists the entries' addresses for callers.
 
-        `list_addresses` takes the caller's region and data centre. Callers may use an
-        answer for `ttl_s` seconds.
+        `list_addresses` takes the host that is asked for, and the caller's region and
+        data centre. Callers may use an answer for `ttl_s` seconds.
         """
 
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -22,7 +22,15 @@
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, crashreports, departures, goals, listeners
+from primrosesaddle.process import (
+    adapter,
+    crashreports,
+    departures,
+    goals,
+    listeners,
+    restrictions,
+)
+from primrosesaddle.restrictions import homes
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -66,6 +74,9 @@
             platform.decode_record, clocks.seconds_since_boot, assumed_age_s
         )
         self._metrics = metrics.make_metrics()
+        self._restrictions = restrictions.Restrictions(
+            self._view, lambda: self.cfg.regions, self._metrics
+        )
         self.mesh = mesh.make_mesh(cfg, self._view, self._rand)
         self.mesh.is_ready = lambda: self.ready
         self.feed = feed.Feed(
@@ -160,7 +171,7 @@
         )
         self._serve_application(
             applications.make_directory_application(
-                lambda region, data_centre: self.list_addresses(), DIRECTORY_TTL_S
+                self.list_addresses, DIRECTORY_TTL_S
             ),
             self.cfg.listen.directory,
         )
@@ -240,13 +251,24 @@
         if address is not None:
             self._servers.append(listeners.serve(app, address))
 
-    def list_addresses(self) -> list[str]:
-        """Return the addresses of ready entries for callers, in random order."""
-        known = [peer.card.callers for peer in self.mesh.ready_entries()]
-        if self.ready and self.cfg.listen.callers is not None:
-            known.append(self.cfg.listen.callers)
+    def list_addresses(
+        self, host: str = '', region: str = '', data_centre: str = ''
+    ) -> list[str]:
+        """Return the addresses of ready entries for callers of a host.
+
+        They are in random order. `region` and `data_centre` are the caller's.
+        """
+        cards = [peer.card for peer in self.mesh.ready_entries()]
+        if self.ready:
+            cards.append(self.mesh.members.card)
+        known = [
+            homes.EntryAddress(card.callers, card.region)
+            for card in cards
+            if card.callers
+        ]
+        known = self._restrictions.select_entries(known, host, region, data_centre)
         self._rand.shuffle(known)
-        return [address for address in known if address][:MAX_ADDRESSES]
+        return [entry.address for entry in known][:MAX_ADDRESSES]
 
     def _required_version(self, model: str, margin_s: float = SEND_MARGIN_S) -> int:
         """Return the lowest version of a model that a call may use, 0 for any.
@@ -275,7 +297,7 @@
             self._platform.source,
             self._view,
             self.feed,
-            min(bounds.configuration_s, bounds.drain_s),
+            min(bounds.configuration_s, bounds.drain_s, bounds.evacuate_s),
             self._rand,
             self._clock,
         )
@@ -288,6 +310,7 @@
             self._rand,
             self._clock,
             self._estimate_part_load_s,
+            placement.Constraints(allowed=self._restrictions.list_rules()),
         )
         return admission.Admission(placer, self._required_version, self._clock)
 
@@ -379,6 +402,7 @@
             self._origin = self._platform.make_origin(origin.address)
         self._goal_sender.update_from_view()
         self.backends.update_records(self._view.servers.values())
+        self._admission.refuse_excluded()
         for service in () if conf is None else conf.services:
             self._admission.grant_slots(service)
 
--- /dev/null
+++ b/src/primrosesaddle/restrictions/__init__.py
@@ -0,0 +1,1 @@
+"""What operators restrict: where calls are served, and which servers get none."""
--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -20,6 +20,9 @@
         'process.started',
         'process.woke',
         'entry.leaving',
+        'evacuation.in_force',
+        'evacuation.requested',
+        'evacuation.ended',
     )
 )
 
