--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -92,7 +92,8 @@
 class Admission:
     """Gives slots of servers to calls: the most urgent first, then the oldest.
 
-    `grant_listeners` are called with each call that gets a slot.
+    `grant_listeners` are called with each call that gets a slot, `release_listeners`
+    when it gives the slot back.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         self._queues: dict[str, _Queue] = {}
         self._has_waiters = asyncio.Event()
         self.grant_listeners: list[GrantListener] = []
+        self.release_listeners: list[GrantListener] = []
 
     def count_waiting(self) -> int:
         """Return the number of calls that wait."""
@@ -136,6 +138,9 @@
         quiet_s = self._estimate_quiet_s(call, service)
         if quiet_s is not None and quiet_s > max_wait_s:
             raise _make_quiet_refusal(quiet_s)
+        room_s = self._estimate_room_s(call, service)
+        if room_s is not None and room_s > max_wait_s:
+            raise _make_room_refusal(room_s)
         if max_wait_s <= 0 or expected_wait_s > max_wait_s:
             ahead = queue.count_ahead_of(_get_queue_rank(call))
             reason = (
@@ -148,6 +153,8 @@
     def release(self, call: request.Call, choice: placement.Choice) -> None:
         """Release the slot of a call, and grant it to the next one."""
         choice.backend.remove_call(call)
+        for listener in self.release_listeners:
+            listener(call, choice)
         for member in choice.chain[1:]:
             member.backend.passing_calls -= 1
         self.grant_slots(choice.backend.record.service)
@@ -235,6 +242,10 @@
         for waiting in queue.ranks:
             for waiter in [entry for entry in waiting if now >= entry.expires_at]:
                 waiting.remove(waiter)
+                room_s = self._estimate_room_s(waiter.call, waiter.service)
+                if room_s is not None:
+                    waiter.refuse(_make_room_refusal(room_s))
+                    continue
                 ready_s = self._estimate_ready_s(waiter.call, waiter.service)
                 waiter.refuse(
                     self._make_refusal(waiter.call, ready_s, 'no_place: held')
@@ -318,6 +329,13 @@
         required = self._get_required_version(call.model)
         return self._placer.estimate_quiet_s(call, service, required)
 
+    def _estimate_room_s(
+        self, call: request.Call, service: routes.Service
+    ) -> float | None:
+        """Return in how many seconds a limited server leaves room, or None."""
+        required = self._get_required_version(call.model)
+        return self._placer.estimate_room_s(call, service, required)
+
     def _estimate_ready_s(
         self, call: request.Call, service: routes.Service
     ) -> float | None:
@@ -344,6 +362,12 @@
     return verdict.not_run(f'quiet: for_s={quiet_s:.2f}', 503, retry_after_s)
 
 
+def _make_room_refusal(room_s: float) -> verdict.Refusal:
+    """Return the refusal of a call whose servers bear no more calls for now."""
+    retry_after_s = round(max(MIN_RETRY_AFTER_S, room_s), 2)
+    return verdict.not_run(f'no_room: for_s={room_s:.2f}', 503, retry_after_s)
+
+
 def _get_queue_rank(call: request.Call) -> int:
     """Return the rank of a call in the queue.
 
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -36,6 +36,9 @@
 STATUS_MISDIRECTED = 421
 
 
+SendListener = Callable[[request.Call, backends.Backend], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dependencies:
     """The components that a forwarder uses.
@@ -73,6 +76,8 @@
         )
         self._memory_budget = memory.MemoryBudget(attempts.MAX_TOTAL_BUFFERED_BYTES)
         self.in_flight = 0
+        # Called with each call just before it is sent, and its server.
+        self.send_listeners: list[SendListener] = []
 
     async def serve(self, call: request.Call, sink: attempts.AnswerSink) -> None:
         """Serve a call until its final answer has been given.
@@ -224,6 +229,8 @@
         self._deps.crash_watch.check_may_send(call)
         self._count_send(call, backend)
         call.tried.append(backend.server_id)
+        for listener in self.send_listeners:
+            listener(call, backend)
         exchange.send_request(
             call.method, call.target, self._build_headers(attempt, call), call.body
         )
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -38,6 +38,8 @@
 
 # Returns why a server may not get a call, empty if it may.
 Constraint = Callable[[request.Call, backends.Backend], str]
+# Returns in how many seconds a server has room for a call, 0 for now.
+EstimateRoom = Callable[[request.Call, backends.Backend], float]
 EstimateFillTime = Callable[[routes.Service], float | None]
 _PartHolder = tuple[backends.Backend, layers.Span]
 
@@ -47,11 +49,12 @@
     """What keeps calls from servers besides the state of the servers.
 
     `allowed` are rules that hold for the whole life of a call; waiting does not help.
-    `room` are limits that leave room again soon.
+    `room` are limits that leave room again soon, `room_waits` tell when.
     """
 
     allowed: tuple[Constraint, ...] = ()
     room: tuple[Constraint, ...] = ()
+    room_waits: tuple[EstimateRoom, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,6 +191,22 @@
         ]
         return min(quiet_s, default=None)
 
+    def estimate_room_s(
+        self, call: request.Call, service: routes.Service, required_version: int
+    ) -> float | None:
+        """Return in how many seconds the first server leaves room again.
+
+        Returns None unless limits on room keep a call from all servers that can run it.
+        """
+        waits_s = [
+            max(
+                (wait(call, backend) for wait in self._constraints.room_waits),
+                default=0.0,
+            )
+            for backend in self.list_usable_servers(call, service, required_version)
+        ]
+        return min(waits_s, default=0.0) or None
+
     def list_usable_servers(
         self, call: request.Call, service: routes.Service, required_version: int
     ) -> list[backends.Backend]:
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -249,7 +249,8 @@
         self._server_ids_by_key[item.key] = record.server_id
         self.servers[record.server_id] = record
         if record == known:
-            return False
+            # The time from which a server is cold counts, also when it is cold again.
+            return record.cold_remaining_s > 0
         journal.info(
             'server.known',
             server=record.server_id,
--- a/src/primrosesaddle/fleet/mesh.py
+++ b/src/primrosesaddle/fleet/mesh.py
@@ -21,7 +21,8 @@
     `is_ready`, `is_store_reachable` and `get_version_ages_s` are set by the owner. They
     give the state sent with heartbeats, and the ages of announced versions by label.
     The functions in `round_listeners` are called at intervals, so that what processes
-    know spreads also after some have been out of touch.
+    know spreads also after some have been out of touch; those in `roster_listeners`
+    with each process that a peer names as alive.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         self.is_store_reachable: Callable[[], bool] = bool
         self.get_version_ages_s: Callable[[], dict[str, float]] = dict
         self.round_listeners: list[Callable[[], None]] = []
+        self.roster_listeners: list[Callable[[wire.KnownProcess], None]] = []
         self._view = view
         self._rand = rand
         self.members = membertable.MemberTable(
@@ -145,6 +147,9 @@
             )
             for known in body.known
         )
+        for known in body.known:
+            for listener in self.roster_listeners:
+                listener(known)
 
 
 def make_mesh(cfg: node.Node, view: fleetview.View | None, rand: random.Random) -> Mesh:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -254,7 +254,8 @@
     """State of an agent's backend server, which listens at an address.
 
     `ready_in_s` is the time until an empty server is expected to hold layers, 0 if not
-    known. `leaving` is whether the server says that it is leaving.
+    known. `leaving` is whether the server says that it is leaving, `cold_remaining_s`
+    for how many more seconds it says that it is cold.
     """
 
     address: str
@@ -267,6 +268,7 @@
     pace: float = 1.0
     ready_in_s: float = 0
     leaving: bool = False
+    cold_remaining_s: float = 0
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
@@ -275,7 +277,8 @@
     `switch_position` is the receiver's position, from 0 to 1, in the order in which
     servers switch. `first_part_index` is the part of the layers that it loads first.
     `age_known` is false if the sender assumes the age. `piece_count` is the number of
-    pieces of the weights, 0 if not known.
+    pieces of the weights, 0 if not known. `starts_cold` is whether the receiver's
+    service states that its servers are cold after a start.
     """
 
     model: str
@@ -288,6 +291,7 @@
     first_part_index: int = 0
     age_known: bool = False
     piece_count: int = 0
+    starts_cold: bool = False
 
 
 class VersionAges(msgspec.Struct, tag=26, array_like=True, frozen=True):
--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -55,6 +55,14 @@
             wire.is_leaving(answer.headers),
         )
 
+    async def read_cold_s(self) -> float:
+        """Return for how many more seconds the engine says that it is cold.
+
+        Raises `call.CallFailed` when there is no answer.
+        """
+        answer = await self._client.call('GET', names.HEALTH_PATH, REPORT_TIMEOUT_S)
+        return wire.read_cold_s(answer.headers)
+
     async def read_piece(self, model: str, index: int) -> bytes | None:
         """Return a piece from the engine's staging store, or None if it has none.
 
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -2,6 +2,7 @@
 
 __all__ = (
     'ATTEMPT_ID_HEADER',
+    'COLD_MS_HEADER',
     'DEADLINE_MS_HEADER',
     'EXPECT_INSTANCE_HEADER',
     'EXPECT_VERSION_HEADER',
@@ -31,6 +32,8 @@
 EXPECT_VERSION_HEADER = 'X-Expect-Version'
 # Running and waiting requests and slots of the server, comma-separated.
 SERVER_LOAD_HEADER = 'X-Server-Load'
+# Milliseconds for which a server stays cold, in its health answers.
+COLD_MS_HEADER = 'X-Cold-Ms'
 # Present when the server did not run the request.
 NOT_EXECUTED_HEADER = 'X-Not-Executed'
 # Present, as 1, in all answers of a server that is leaving.
@@ -90,6 +93,7 @@
 BASE_PATH = '/primrosesaddle'
 READY_PATH = f'{BASE_PATH}/ready'
 RESOLVE_PATH = f'{BASE_PATH}/resolve'
+HEALTH_PATH = '/healthz'  # where engines answer
 REPORT_PATH = f'{BASE_PATH}/report'
 ORDER_PATH = f'{BASE_PATH}/order'
 MANIFEST_PATH = f'{BASE_PATH}/manifest'
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -10,7 +10,7 @@
 from primrosesaddle.net import upstream
 from primrosesaddle.platform import names
 
-__all__ = ('answers', 'is_leaving', 'read_head', 'request_headers')
+__all__ = ('answers', 'is_leaving', 'read_cold_s', 'read_head', 'request_headers')
 
 _MS = 1000
 MIN_DEADLINE_MS = 1
@@ -78,6 +78,18 @@
     return headers.get(names.SERVER_LEAVING_HEADER, '').strip() == '1'
 
 
+def read_cold_s(headers: httputil.HTTPHeaders) -> float:
+    """Return for how many seconds a server says that it stays cold, 0 if it does not.
+
+    An unreadable time counts as none.
+    """
+    try:
+        stated_s = float(headers.get(names.COLD_MS_HEADER, '0')) / _MS
+    except ValueError:
+        return 0.0
+    return max(0.0, stated_s) if math.isfinite(stated_s) else 0.0
+
+
 def answers(
     call: request.Call, headers: httputil.HTTPHeaders, *, is_first: bool
 ) -> bool:
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -143,6 +143,7 @@
                     layer_count=engine.layer_count,
                     age_known=announcement is not None and announcement.is_known,
                     piece_count=engine.piece_count,
+                    starts_cold=service.cold_start_s > 0,
                 )
                 goals.append((service.name, goal))
         return goals
--- /dev/null
+++ b/src/primrosesaddle/restrictions/__init__.py
@@ -0,0 +1,1 @@
+"""Rules that keep calls from servers."""
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -30,6 +30,9 @@
 # together. More took a third of its processor time with 14 entries.
 MAX_LOAD_REPORTS_PER_S = 40
 MAX_REPORT_INTERVAL_S = 0.35  # entries consider a report stale after 0.8 s
+# Between reads of whether the engine is cold. Otherwise entries learn that from the
+# store, after up to a heartbeat of the server.
+COLD_CHECK_INTERVAL_S = 0.25
 KEPT_GOALS = 3
 LOADING_S = 0.4  # from the last piece of a part to the report that it is loaded
 
@@ -60,6 +63,9 @@
     async def read_state(self) -> EngineState:
         """Return the engine's state."""
 
+    async def read_cold_s(self) -> float:
+        """Return for how many more seconds the engine says that it is cold."""
+
     async def load(self, model: str, span: layers.Span) -> bool:
         """Order the engine to load layers, and return whether it accepted that."""
 
@@ -111,6 +117,10 @@
         self._order: _Order | None = None
         self._last_report: wire.ServerState | None = None
         self._reported_at = 0.0
+        self._cold_until = 0.0
+        self._cold_checked_at = 0.0
+        # Whether the engine's service states that its servers are cold after a start.
+        self.starts_cold = False
 
     def set_goal(self, goal: loadplan.Goal) -> None:
         """Adopt a wanted version, unless a newer one of the model is wanted already.
@@ -148,6 +158,7 @@
         """Reconcile the engine and send reports, until cancelled."""
         while True:
             await self._update_state()
+            await self._update_cold()
             await self._advance()
             self._report_state()
             await asyncio.sleep(
@@ -173,6 +184,22 @@
             self._forget_engine()
         self._state = state
 
+    async def _update_cold(self) -> None:
+        """Read whether the engine is cold, if its service states that it may be."""
+        now = self._clock()
+        if not self.starts_cold or now - self._cold_checked_at < COLD_CHECK_INTERVAL_S:
+            return
+        self._cold_checked_at = now
+        try:
+            cold_s = await self._engine.read_cold_s()
+        except call.CallFailed as exc:
+            # What it stated last holds; `_update_state` notices an engine that is lost.
+            journal.info('engine.cold_unknown', error=str(exc))
+            return
+        if cold_s and now >= self._cold_until:
+            journal.info('engine.cold', for_s=round(cold_s, 2))
+        self._cold_until = now + cold_s if cold_s else 0.0
+
     def _forget_engine(self) -> None:
         """Discard what is known of the engine, its staging area and the last order."""
         self._state = None
@@ -317,6 +344,7 @@
                 state.pace,
                 round(self._estimate_ready_s(state), 2),
                 state.leaving,
+                round(max(0.0, self._cold_until - self._clock()), 2),
             )
         now = self._clock()
         if self._last_report is not None and _without_load(report) == _without_load(
@@ -340,7 +368,14 @@
 
 def _without_load(report: wire.ServerState) -> wire.ServerState:
     """Return a report without the values that change all the time."""
-    return msgspec.structs.replace(report, active=0, queued=0, pace=1.0, ready_in_s=0.0)
+    return msgspec.structs.replace(
+        report,
+        active=0,
+        queued=0,
+        pace=1.0,
+        ready_in_s=0.0,
+        cold_remaining_s=float(report.cold_remaining_s > 0),
+    )
 
 
 def make_goal(
