--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -1,6 +1,7 @@
 """The entry process: accepts callers' calls and forwards them to backend servers."""
 
 import asyncio
+import dataclasses
 import math
 import random
 
@@ -24,6 +25,7 @@
 from primrosesaddle.net import pool
 from primrosesaddle.process import (
     adapter,
+    coldstarts,
     crashreports,
     departures,
     goals,
@@ -95,9 +97,18 @@
         departures.share_departures(self.mesh, self.backends)
         self.crash_history = crashes.CrashHistory(self._clock, self._owns_trial)
         self._crash_watch = self._make_crash_watch()
+        self._cold_starts = coldstarts.make_cold_starts(
+            cfg,
+            self._view,
+            self.backends,
+            self.mesh,
+            self._is_store_reached,
+            self._metrics,
+        )
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
+        self._forwarder.send_listeners.append(self._cold_starts.record_sent)
         self._request_intake = intake.RequestIntake(
             self._view, self._forwarder, self._drain
         )
@@ -162,6 +173,7 @@
         keep_running(self.mesh.run, 'mesh')
         keep_running(self.feed.run, 'feed')
         keep_running(self._goal_sender.run, 'goals')
+        keep_running(lambda: self._cold_starts.run(self.mesh), 'cold_starts')
         self.mesh.start()
         applications = self._platform.applications
         self._serve_application(self._call_application, self.cfg.listen.callers)
@@ -310,9 +322,19 @@
             self._rand,
             self._clock,
             self._estimate_part_load_s,
-            placement.Constraints(allowed=self._restrictions.list_rules()),
+            dataclasses.replace(
+                self._cold_starts.make_constraints(),
+                allowed=self._restrictions.list_rules(),
+            ),
         )
-        return admission.Admission(placer, self._required_version, self._clock)
+        admitted = admission.Admission(placer, self._required_version, self._clock)
+        admitted.grant_listeners.append(self._cold_starts.grant)
+        admitted.release_listeners.append(self._cold_starts.release)
+        return admitted
+
+    def _is_store_reached(self) -> bool:
+        """Return whether the store answers this entry, or others that it hears."""
+        return self._reader.is_store_reachable or self.feed.is_store_reached_by_others()
 
     def _make_forwarder(self) -> forwarding.Forwarder:
         bounds = self.cfg.bounds
@@ -390,6 +412,7 @@
             body.ready_in_s,
         )
         self.backends.update_report(body.address, report)
+        self._cold_starts.update_from_agent(body)
         if body.leaving:
             self.backends.mark_leaving_at(body.address, body.start_time_ms)
 
@@ -401,6 +424,7 @@
             self._origin_address = origin.address
             self._origin = self._platform.make_origin(origin.address)
         self._goal_sender.update_from_view()
+        self._cold_starts.update_from_view()
         self.backends.update_records(self._view.servers.values())
         self._admission.refuse_excluded()
         for service in () if conf is None else conf.services:
--- a/src/primrosesaddle/restrictions/__init__.py
+++ b/src/primrosesaddle/restrictions/__init__.py
@@ -1,1 +1,1 @@
-"""What operators restrict: where calls are served, and which servers get none."""
+"""Rules that keep calls from servers: homes, evacuations, cold starts."""
