Room: entries share the slots of engines while they compete for them

Cause: every entry filled all slots that a report showed as free, some hundred milliseconds late, so that calls queued at the engines until nearly all were late, and late retries took a third of the room.

overload/ decides, without I/O, how many calls an entry may have at a server: it keeps those that it has, and takes its share of what is free. Classes of routes leave slots free for more urgent ones that came lately, late retries run where there is room for all, groups below their floor go first, and refused callers are spread.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -7,6 +7,7 @@
 
 from primrosesaddle.calls import placement, request, routes
 from primrosesaddle.core import verdict
+from primrosesaddle.overload import control
 
 __all__ = ('Admission',)
 
@@ -40,7 +41,9 @@
     call: request.Call
     service: routes.Service
     expires_at: float
-    fut: 'asyncio.Future[placement.Choice]'
+    fut: 'asyncio.Future[placement.Choice]' = dataclasses.field(
+        default_factory=asyncio.Future
+    )
 
     def refuse(self, refusal: verdict.Refusal) -> None:
         """End the wait with a refusal, unless it has ended."""
@@ -100,11 +103,14 @@
         placer: placement.Placer,
         get_required_version: GetRequiredVersion,
         clock: Callable[[], float],
+        room: control.Control | None = None,
     ) -> None:
         """Create empty queues.
 
         `get_required_version` returns the lowest version of a model that is allowed.
+        `room` decides while entries compete for slots; it has to limit the placer.
         """
+        self._room = room
         self._placer = placer
         self._get_required_version = get_required_version
         self._clock = clock
@@ -125,7 +131,10 @@
         """
         now = self._clock()
         queue = self._queues.setdefault(service.name, _Queue())
-        if not queue.count_ahead_of(_get_queue_rank(call)):
+        if self._room is not None:
+            self._room.record_arrival(call, service.name)
+        rank = self._get_queue_rank(call, service)
+        if not queue.count_ahead_of(rank):
             choice = self._choose_server(call, service)
             if choice is not None:
                 self._take_slot(queue, call, choice, now)
@@ -137,13 +146,14 @@
         if quiet_s is not None and quiet_s > max_wait_s:
             raise _make_quiet_refusal(quiet_s)
         if max_wait_s <= 0 or expected_wait_s > max_wait_s:
-            ahead = queue.count_ahead_of(_get_queue_rank(call))
+            ahead = queue.count_ahead_of(rank)
             reason = (
                 f'no_place: ahead={ahead} expected_s={expected_wait_s:.2f} '
                 f'may_hold_s={max_wait_s:.2f}'
             )
-            raise self._make_refusal(call, ready_s, reason)
-        return await self._wait(queue, call, service, now + max_wait_s)
+            raise self._make_refusal(call, service, ready_s, reason)
+        waiter = _Waiter(call, service, now + max_wait_s)
+        return await self._wait(queue, waiter, rank)
 
     def release(self, call: request.Call, choice: placement.Choice) -> None:
         """Release the slot of a call, and grant it to the next one."""
@@ -207,18 +217,11 @@
                     self._has_waiters.set()
 
     async def _wait(
-        self,
-        queue: _Queue,
-        call: request.Call,
-        service: routes.Service,
-        expires_at: float,
+        self, queue: _Queue, waiter: _Waiter, rank: int
     ) -> placement.Choice:
-        fut: 'asyncio.Future[placement.Choice]'
-        fut = asyncio.get_running_loop().create_future()
+        call, fut = waiter.call, waiter.fut
         wait_began_at = self._clock()
-        queue.ranks[_get_queue_rank(call)].append(
-            _Waiter(call, service, expires_at, fut)
-        )
+        queue.ranks[rank].append(waiter)
         self._has_waiters.set()
         try:
             return await fut
@@ -237,7 +240,9 @@
                 waiting.remove(waiter)
                 ready_s = self._estimate_ready_s(waiter.call, waiter.service)
                 waiter.refuse(
-                    self._make_refusal(waiter.call, ready_s, 'no_place: held')
+                    self._make_refusal(
+                        waiter.call, waiter.service, ready_s, 'no_place: held'
+                    )
                 )
 
     def _choose_server(
@@ -258,6 +263,8 @@
         for member in choice.chain[1:]:
             member.backend.passing_calls += 1
         queue.granted.append(now)
+        if self._room is not None:
+            self._room.record_granted(call, choice.backend.record.service)
         for listener in self.grant_listeners:
             listener(call, choice)
 
@@ -304,7 +311,7 @@
         While servers are being filled, the recent rate does not predict the next
         grants, so that a retry counts with the time at which servers are ready.
         """
-        ahead = queue.count_ahead_of(_get_queue_rank(call))
+        ahead = queue.count_ahead_of(self._get_queue_rank(call, service))
         if ready_s is not None and call.spent_s:
             if ahead < self._placer.count_slots(service):
                 return ready_s
@@ -326,32 +333,47 @@
         return self._placer.estimate_ready_s(call, service, required)
 
     def _make_refusal(
-        self, call: request.Call, ready_s: float | None, reason: str
+        self,
+        call: request.Call,
+        service: routes.Service,
+        ready_s: float | None,
+        reason: str,
     ) -> verdict.Refusal:
         """Return a refusal that states when a slot may be free."""
         remaining_s = call.deadline_at - self._clock()
         retry_after_s = min(MAX_RETRY_AFTER_S, remaining_s / 3)
+        if self._room is not None:
+            decided_by = self._room.explain(call, service.name)
+            use = self._room.get_use(service.name)
+            reason = f'{reason} decided_by={decided_by} use={use:.2f}'
+            self._room.record_refused(call, service.name, decided_by)
+            if self._room.is_engaged(service.name):
+                retry_after_s = self._room.choose_retry_s(call)
         if ready_s is not None:
             retry_after_s = min(retry_after_s, ready_s)
         return verdict.not_run(
             reason, 503, round(max(MIN_RETRY_AFTER_S, retry_after_s), 2)
         )
 
+    def _get_queue_rank(self, call: request.Call, service: routes.Service) -> int:
+        """Return the rank of a call in the queue.
+
+        An interrupted stream comes first, as the part that the caller has would be
+        lost. A late retry comes last. While entries compete for slots, the room that
+        they share decides about the others.
+        """
+        if call.answer_started:
+            return 0
+        if self._room is not None:
+            rank = self._room.find_queue_rank(call, service.name)
+            if rank is not None:
+                return rank
+        if call.is_late_retry:
+            return routes.RANK_COUNT - 1
+        return call.rank
+
 
 def _make_quiet_refusal(quiet_s: float) -> verdict.Refusal:
     """Return the refusal of a call whose servers want no calls for a while."""
     retry_after_s = round(max(MIN_RETRY_AFTER_S, quiet_s), 2)
     return verdict.not_run(f'quiet: for_s={quiet_s:.2f}', 503, retry_after_s)
-
-
-def _get_queue_rank(call: request.Call) -> int:
-    """Return the rank of a call in the queue.
-
-    An interrupted stream comes first, as the part that the caller has would be lost;
-    a late retry comes last.
-    """
-    if call.answer_started:
-        return 0
-    if call.is_late_retry:
-        return routes.RANK_COUNT - 1
-    return call.rank
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -38,6 +38,9 @@
 
 # Returns why a server may not get a call, empty if it may.
 Constraint = Callable[[request.Call, backends.Backend], str]
+# Returns how many calls this entry may have at a server, given a call that may be
+# added; None where the free slots of the server decide.
+OwnLimit = Callable[[request.Call, backends.Backend], int | None]
 EstimateFillTime = Callable[[routes.Service], float | None]
 _PartHolder = tuple[backends.Backend, layers.Span]
 
@@ -47,11 +50,13 @@
     """What keeps calls from servers besides the state of the servers.
 
     `allowed` are rules that hold for the whole life of a call; waiting does not help.
-    `room` are limits that leave room again soon.
+    `room` are limits that leave room again soon. `own_limit` replaces the count of
+    free slots while entries compete for them.
     """
 
     allowed: tuple[Constraint, ...] = ()
     room: tuple[Constraint, ...] = ()
+    own_limit: OwnLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -327,10 +332,7 @@
         now: float,
     ) -> bool:
         """Return whether a server has a free slot and few enough unread tokens."""
-        slots = backend.record.slots or 1
-        if slots >= MIN_SLOTS_TO_RESERVE:
-            slots -= _count_reserved_slots(call)
-        if backend.count_calls(now) >= slots:
+        if not self._has_slot_for(backend, call, now):
             return False
         if _find_reason(self._constraints.room, call, backend):
             return False
@@ -339,6 +341,19 @@
         unread = backend.count_unread_tokens()
         return not unread or unread + call.cost.prompt_tokens <= MAX_UNREAD_TOKENS
 
+    def _has_slot_for(
+        self, backend: backends.Backend, call: request.Call, now: float
+    ) -> bool:
+        """Return whether this entry may use another slot of a server for a call."""
+        own_limit = self._constraints.own_limit
+        limit = own_limit(call, backend) if own_limit else None
+        if limit is not None:
+            return len(backend.calls) < limit
+        slots = backend.record.slots or 1
+        if slots >= MIN_SLOTS_TO_RESERVE:
+            slots -= _count_reserved_slots(call)
+        return backend.count_calls(now) < slots
+
     def _predict_first_byte_s(
         self,
         backend: backends.Backend,
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -22,6 +22,7 @@
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
+from primrosesaddle.overload import control
 from primrosesaddle.process import adapter, crashreports, departures, goals, listeners
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
@@ -84,6 +85,14 @@
         departures.share_departures(self.mesh, self.backends)
         self.crash_history = crashes.CrashHistory(self._clock, self._owns_trial)
         self._crash_watch = self._make_crash_watch()
+        self._room = control.Control(
+            self.backends,
+            self.mesh.count_entries,
+            self._rand,
+            self._clock,
+            self._metrics,
+        )
+        self._metrics.gauge('slots_use', self._room.get_highest_use)
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
@@ -288,8 +297,11 @@
             self._rand,
             self._clock,
             self._estimate_part_load_s,
+            placement.Constraints(own_limit=self._room.limit_own_calls),
+        )
+        return admission.Admission(
+            placer, self._required_version, self._clock, self._room
         )
-        return admission.Admission(placer, self._required_version, self._clock)
 
     def _make_forwarder(self) -> forwarding.Forwarder:
         bounds = self.cfg.bounds
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,178 @@
+"""Too little room for all calls: entries that share engines, in virtual time."""
+
+import dataclasses
+import random
+
+import pytest
+from bench import overloadworld as world
+from testtools import assertions, matchers
+
+import enginestand as stand
+from primrosesaddle.calls import backends
+from primrosesaddle.core import layers
+from primrosesaddle.fleet import servers
+from primrosesaddle.overload import comeback, control, floors, ranks, shares
+
+ROOM = 20 * 7.9  # calls per second that 20 engines can serve
+ALIKE = (
+    world.Kind('long', 0.4, 1, 0.5, 1330, 110),
+    world.Kind('medium', 0.3, 1, 0.4, 827, 110),
+    world.Kind('short', 0.3, 1, 0.4, 647, 70),
+)
+RANKED = (
+    world.Kind('deferrable', 0.34, 2, 1.0, 1330, 110),
+    world.Kind('urgent', 0.43, 0, 0.4, 827, 110),
+    world.Kind('brief', 0.23, 1, 0.4, 647, 70),
+)
+
+
+def _play(kinds, rates, **options):
+    played = world.World(world.make_sharing_entry)
+    played.run(kinds, rates, **options)
+    return played
+
+
+@pytest.mark.parametrize(('excess', 'in_time'), [(1.25, 0.6), (2.0, 0.35)])
+def test_most_of_what_there_is_room_for_is_in_time(excess, in_time):
+    """Calls that are all let in queue at the engines until nearly all are late.
+
+    Once the load is back at 0.6 of the room, calls are in time within two seconds.
+    """
+    played = _play(ALIKE, [(4, ROOM / 2), (20, excess * ROOM), (6, 0.6 * ROOM)])
+    during = played.sum_windows('', 6, 24)
+    afterwards = played.sum_windows('', 26, 30)
+    assertions.assert_that(during.share_in_time, matchers.GreaterThan(in_time))
+    assertions.assert_that(afterwards.share_in_time, matchers.GreaterThan(0.9))
+    for kind in ALIKE:
+        served = played.sum_windows(kind.name, 6, 24).share_served
+        assertions.assert_that(
+            served, matchers.GreaterThan(during.share_served / 2), kind.name
+        )
+
+
+def test_urgent_calls_are_in_time_while_the_least_urgent_flood():
+    """Entries fill the engines with the least urgent calls that each of them has."""
+    played = _play(
+        RANKED,
+        [(4, 0.6 * ROOM), (8, 0.7 * ROOM)],
+        extra_rates={1: {'deferrable': 3.2}},
+    )
+    burst = played.sum_windows('', 4, 12)
+    urgent = played.sum_windows('urgent', 4, 12)
+    deferrable = played.sum_windows('deferrable', 4, 12)
+    assertions.assert_that(urgent.share_in_time, matchers.GreaterThan(0.85))
+    assertions.assert_that(
+        deferrable.share_served, matchers.GreaterThan(burst.share_served / 4)
+    )
+
+
+def test_shares_of_free_slots_add_up_over_the_entries():
+    """Sixteen entries that see two free slots would send sixteen calls or more."""
+    rand = random.Random(1)
+    load = shares.ServerLoad(12, 10, 1)
+    reports = 500
+    taken = [
+        shares.compute_own_limit(load, 12, 1 / 16, rand.random()) - load.own
+        for _ in range(16 * reports)
+    ]
+    assertions.assert_that(sum(taken) / reports, matchers.LessThan(2))
+    assertions.assert_that(sum(taken) / reports, matchers.GreaterThan(1))
+
+
+def test_calls_beyond_the_target_are_given_up_by_all_entries():
+    """A server that has a queue would keep it for as long as the load lasts."""
+    load = shares.ServerLoad(12, 20, 5)
+    limit = shares.compute_own_limit(load, 12, 5 / 20, 0.0)
+    assertions.assert_that(limit, matchers.Equals(3))
+
+
+def test_less_urgent_calls_leave_no_slots_to_calls_that_do_not_come():
+    """Slots that are kept for nobody are lost to those who wait."""
+    recent = ranks.RecentCalls()
+    recent.record(ranks.Urgency.THIRD, 0.0)
+    target = ranks.compute_target(12, ranks.Urgency.THIRD, recent.list_shares())
+    assertions.assert_that(target, matchers.GreaterThan(12))
+    recent.record(ranks.Urgency.FIRST, 0.1)
+    target = ranks.compute_target(12, ranks.Urgency.THIRD, recent.list_shares())
+    assertions.assert_that(target, matchers.LessThan(11))
+
+
+def test_a_group_that_is_never_served_is_behind_until_it_is():
+    """Urgent calls alone may fill all slots for as long as they come."""
+    memory = floors.Floors()
+    for index in range(10):
+        memory.record(('route=a',), index / 10, served=True)
+        memory.record(('route=b',), index / 10, served=False)
+    behind = memory.find_behind(('route=a', 'route=b'), 1.0)
+    assertions.assert_that(behind, matchers.Equals('route=b'))
+    for _ in range(10):
+        memory.record(('route=b',), 1.0, served=True)
+    behind = memory.find_behind(('route=a', 'route=b'), 1.0)
+    assertions.assert_that(behind, matchers.Equals(''))
+
+
+def test_refused_callers_are_spread_over_the_middle_of_their_time():
+    """Callers that come back together meet each other."""
+    times = [comeback.choose_retry_s(6.0, draw / 10) for draw in range(10)]
+    assertions.assert_that(min(times), matchers.GreaterThan(1.0))
+    assertions.assert_that(max(times), matchers.LessThan(4.0))
+    assertions.assert_that(len(set(times)), matchers.Equals(10))
+
+
+@pytest.fixture
+def engines():
+    """Return a control, and a function that sets how many calls run at two engines."""
+    now = [10.0]
+    known = backends.Backends(lambda: now[0])
+    models = {stand.MODEL: layers.Span(0, 4, 1)}
+    known.update_records(
+        servers.BackendServer(name, 'engines', f'{name}:1', 'd1', 12, False, models)
+        for name in ('a', 'b')
+    )
+    room = control.Control(known, lambda: 16, random.Random(1), lambda: now[0])
+
+    def set_load(active, age_s=0.0):
+        now[0] += 1.0
+        for name in ('a', 'b'):
+            report = backends.Report(now[0] - age_s, active, 0, models, False)
+            known.update_report(f'{name}:1', report)
+        return known.get_by_id('a')
+
+    return room, set_load
+
+
+def test_nothing_is_limited_while_half_of_the_slots_are_free(engines):
+    """Callers are not held back, let alone refused, while there is room."""
+    room, set_load = engines
+    limit = room.limit_own_calls(stand.make_call(), set_load(5))
+    assertions.assert_that(limit, matchers.Is(None))
+
+
+def test_an_entry_without_fresh_reports_decides_by_its_own_counts(engines):
+    """An entry that is cut off would keep the limit of the last report for ever."""
+    room, set_load = engines
+    backend = set_load(12, age_s=backends.REPORT_STALE_S + 0.1)
+    limit = room.limit_own_calls(stand.make_call(), backend)
+    assertions.assert_that(limit, matchers.Is(None))
+
+
+def test_a_late_retry_takes_no_slot_that_a_call_in_time_needs(engines):
+    """A late answer takes the room of one that would be in time."""
+    room, set_load = engines
+    retry = stand.make_call(spent_s=2.0)
+    limit = room.limit_own_calls(retry, set_load(11))
+    assertions.assert_that(limit, matchers.Equals(0))
+
+
+def test_a_call_of_a_route_that_is_behind_goes_with_the_most_urgent(engines):
+    """The least urgent route would be starved by a flood of urgent calls."""
+    room, set_load = engines
+    set_load(12)
+    route = dataclasses.replace(stand.ROUTE, name='rare', rank=2)
+    starved = stand.make_call(route=route, rank=8)
+    for _ in range(10):
+        room.record_granted(stand.make_call(), 'engines')
+        room.record_refused(starved, 'engines', 'rank')
+    assertions.assert_that(
+        room.find_urgency(starved, 'engines'), matchers.Equals(ranks.Urgency.FIRST)
+    )
