Merge room shared by rank

Change: merged with homes, evacuations and cold starts; what no allowed server can take is refused apart from what has no room, so that it counts against no floor.

--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -23,6 +23,7 @@
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
+from primrosesaddle.overload import control
 from primrosesaddle.process import (
     adapter,
     coldstarts,
@@ -105,6 +106,14 @@
             self._is_store_reached,
             self._metrics,
         )
+        self._room = control.Control(
+            self.backends,
+            self.mesh.count_entries,
+            self._rand,
+            self._clock,
+            self._metrics,
+        )
+        self._metrics.gauge('slots_use', self._room.get_highest_use)
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
@@ -325,9 +334,12 @@
             dataclasses.replace(
                 self._cold_starts.make_constraints(),
                 allowed=self._restrictions.list_rules(),
+                own_limit=self._room.limit_own_calls,
             ),
         )
-        admitted = admission.Admission(placer, self._required_version, self._clock)
+        admitted = admission.Admission(
+            placer, self._required_version, self._clock, self._room
+        )
         admitted.grant_listeners.append(self._cold_starts.grant)
         admitted.release_listeners.append(self._cold_starts.release)
         return admitted
