Cold starts: agents ask their engine only while the store does not tell

Change: entries that do not reach the store ask agents, with their goals, to read the cold time for 4 s; nobody else does.

--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -277,8 +277,8 @@
     `switch_position` is the receiver's position, from 0 to 1, in the order in which
     servers switch. `first_part_index` is the part of the layers that it loads first.
     `age_known` is false if the sender assumes the age. `piece_count` is the number of
-    pieces of the weights, 0 if not known. `starts_cold` is whether the receiver's
-    service states that its servers are cold after a start.
+    pieces of the weights, 0 if not known. `asks_cold` is whether the receiver is to ask
+    its server whether it is cold, as the store does not tell the sender.
     """
 
     model: str
@@ -291,7 +291,7 @@
     first_part_index: int = 0
     age_known: bool = False
     piece_count: int = 0
-    starts_cold: bool = False
+    asks_cold: bool = False
 
 
 class VersionAges(msgspec.Struct, tag=26, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -123,7 +123,8 @@
             self._origin_address = body.origin
             self._origin = self._platform.make_origin(body.origin)
         if self._reconciler is not None:
-            self._reconciler.starts_cold = body.starts_cold
+            if body.asks_cold:
+                self._reconciler.watch_cold()
             version = pieces.Version(body.model, body.version)
             self._reconciler.set_goal(
                 reconciler.make_goal(version, body, clocks.seconds_since_boot)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -91,7 +91,7 @@
         departures.share_departures(self.mesh, self.backends)
         self.crash_history = crashes.CrashHistory(self._clock, self._owns_trial)
         self._crash_watch = self._make_crash_watch()
-        self._cold_starts = coldstarts.make_cold_starts(
+        self.cold_starts = coldstarts.make_cold_starts(
             cfg,
             self._view,
             self.backends,
@@ -102,7 +102,7 @@
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
-        self._forwarder.send_listeners.append(self._cold_starts.record_sent)
+        self._forwarder.send_listeners.append(self.cold_starts.record_sent)
         self._request_intake = intake.RequestIntake(
             self._view, self._forwarder, self._drain
         )
@@ -167,7 +167,7 @@
         keep_running(self.mesh.run, 'mesh')
         keep_running(self.feed.run, 'feed')
         keep_running(self._goal_sender.run, 'goals')
-        keep_running(lambda: self._cold_starts.run(self.mesh), 'cold_starts')
+        keep_running(lambda: self.cold_starts.run(self.mesh), 'cold_starts')
         self.mesh.start()
         applications = self._platform.applications
         self._serve_application(self._call_application, self.cfg.listen.callers)
@@ -305,11 +305,11 @@
             self._rand,
             self._clock,
             self._estimate_part_load_s,
-            self._cold_starts.make_constraints(),
+            self.cold_starts.make_constraints(),
         )
         admitted = admission.Admission(placer, self._required_version, self._clock)
-        admitted.grant_listeners.append(self._cold_starts.grant)
-        admitted.release_listeners.append(self._cold_starts.release)
+        admitted.grant_listeners.append(self.cold_starts.grant)
+        admitted.release_listeners.append(self.cold_starts.release)
         return admitted
 
     def _is_store_reached(self) -> bool:
@@ -392,7 +392,7 @@
             body.ready_in_s,
         )
         self.backends.update_report(body.address, report)
-        self._cold_starts.update_from_agent(body)
+        self.cold_starts.update_from_agent(body)
         if body.leaving:
             self.backends.mark_leaving_at(body.address, body.start_time_ms)
 
@@ -404,7 +404,7 @@
             self._origin_address = origin.address
             self._origin = self._platform.make_origin(origin.address)
         self._goal_sender.update_from_view()
-        self._cold_starts.update_from_view()
+        self.cold_starts.update_from_view()
         self.backends.update_records(self._view.servers.values())
         for service in () if conf is None else conf.services:
             self._admission.grant_slots(service)
--- a/src/primrosesaddle/process/goals.py
+++ b/src/primrosesaddle/process/goals.py
@@ -143,7 +143,8 @@
                     layer_count=engine.layer_count,
                     age_known=announcement is not None and announcement.is_known,
                     piece_count=engine.piece_count,
-                    starts_cold=service.cold_start_s > 0,
+                    asks_cold=service.cold_start_s > 0
+                    and not self._mesh.is_store_reachable(),
                 )
                 goals.append((service.name, goal))
         return goals
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -30,9 +30,10 @@
 # together. More took a third of its processor time with 14 entries.
 MAX_LOAD_REPORTS_PER_S = 40
 MAX_REPORT_INTERVAL_S = 0.35  # entries consider a report stale after 0.8 s
-# Between reads of whether the engine is cold. Otherwise entries learn that from the
-# store, after up to a heartbeat of the server.
+# Between reads of whether the engine is cold, and for how long entries want them: twice
+# the interval at which they send their goals. Health checks take time of the engine.
 COLD_CHECK_INTERVAL_S = 0.25
+COLD_WATCH_S = 4.0
 KEPT_GOALS = 3
 LOADING_S = 0.4  # from the last piece of a part to the report that it is loaded
 
@@ -119,8 +120,7 @@
         self._reported_at = 0.0
         self._cold_until = 0.0
         self._cold_checked_at = 0.0
-        # Whether the engine's service states that its servers are cold after a start.
-        self.starts_cold = False
+        self._watch_cold_until = 0.0
 
     def set_goal(self, goal: loadplan.Goal) -> None:
         """Adopt a wanted version, unless a newer one of the model is wanted already.
@@ -150,6 +150,10 @@
             if goal.announcement.is_known
         }
 
+    def watch_cold(self) -> None:
+        """Report for a while whether the engine is cold, as an entry asks for it."""
+        self._watch_cold_until = self._clock() + COLD_WATCH_S
+
     def report_again(self) -> None:
         """Send the state again at the next check, as when an entry has just joined."""
         self._last_report = None
@@ -185,9 +189,11 @@
         self._state = state
 
     async def _update_cold(self) -> None:
-        """Read whether the engine is cold, if its service states that it may be."""
+        """Read whether the engine is cold, while entries ask for it."""
         now = self._clock()
-        if not self.starts_cold or now - self._cold_checked_at < COLD_CHECK_INTERVAL_S:
+        if self._state is None or now >= self._watch_cold_until:
+            return
+        if now - self._cold_checked_at < COLD_CHECK_INTERVAL_S:
             return
         self._cold_checked_at = now
         try:
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -8,11 +8,13 @@
 
 import pytest
 from testtools import assertions, matchers
+from tornado import httputil
 
 import platformstand as stand
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import fleetview, servers
-from primrosesaddle.platform import records
+from primrosesaddle.membership import wire as membership_wire
+from primrosesaddle.platform import records, wire
 from primrosesaddle.restrictions import coldshares, coldstart, knownentries
 
 BORN_PER_S = 17.0
@@ -317,3 +319,26 @@
             _assert(wait_s, matchers.LessThan(1.4))  # a third of the time limit
 
     in_fleet(check, server)
+
+
+@pytest.mark.parametrize(
+    ('stated', 'seconds'), [('1500', 1.5), ('-5', 0.0), ('nan', 0.0), ('soon', 0.0)]
+)
+def test_health_answers_state_the_cold_time(stated, seconds):
+    """A header that cannot be read must not end the process, nor stop all calls."""
+    headers = httputil.HTTPHeaders({'X-Cold-Ms': stated})
+    _assert(wire.read_cold_s(headers), matchers.Equals(seconds))
+
+
+def test_an_agent_tells_that_its_server_is_cold(in_fleet):
+    """The store may not tell it in time, or not at all."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.put('op/config', _configure(4))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        state = membership_wire.ServerState(server.address, 0, True, cold_remaining_s=3)
+        fleet.entry.cold_starts.update_from_agent(state)
+        _assert(fleet.entry.cold_starts.count_cold(), matchers.Equals(1))
+
+    in_fleet(check, server)
--- a/tests/test_staging.py
+++ b/tests/test_staging.py
@@ -105,6 +105,12 @@
         self.spans = []
         self.start_time_ms = 1
         self.unreachable = False
+        self.cold_s = 0.0
+        self.health_checks = 0
+
+    async def read_cold_s(self):
+        self.health_checks += 1
+        return self.cold_s
 
     async def read_state(self):
         if self.unreachable:
@@ -691,6 +697,24 @@
     )
 
 
+def test_engine_that_is_cold_is_reported_while_entries_ask(with_reconciler):
+    """Without the store, entries would not learn that an engine is cold again.
+
+    Health checks take time of the engine, so that there are none otherwise.
+    """
+    engine = FakeEngine(loaded=1)
+    engine.cold_s = 3.0
+
+    async def check(engine_reconciler, reports):
+        await _wait_until(lambda: reports)
+        await asyncio.sleep(2 * reconciler.COLD_CHECK_INTERVAL_S)
+        _assert_equal((engine.health_checks, reports[-1].cold_remaining_s), (0, 0))
+        engine_reconciler.watch_cold()
+        await _wait_until(lambda: reports[-1].cold_remaining_s > 2)
+
+    with_reconciler(check, engine, FakeOrigin())
+
+
 def test_requested_pieces_wait_for_the_prefetch():
     """Requests of agents during a prefetch start no additional parallel reads."""
 
