Cold starts: a stated cold time counts from its receipt, once

Cause: each change of the view adopted the last stated cold time of all records again, so that a server whose record was not published anew stayed cold. Equal records whose cold time counts down were reported as changes at each heartbeat of a cold server.

Calls sent to cold servers are counted.

Result: test_a_cold_time_is_counted_once failed before and passes.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -249,8 +249,8 @@
         self._server_ids_by_key[item.key] = record.server_id
         self.servers[record.server_id] = record
         if record == known:
-            # The time from which a server is cold counts, also when it is cold again.
-            return record.cold_remaining_s > 0
+            # A cold time that counts down is no change, one that has begun again is.
+            return record.cold_remaining_s > known.cold_remaining_s
         journal.info(
             'server.known',
             server=record.server_id,
--- a/src/primrosesaddle/process/coldstarts.py
+++ b/src/primrosesaddle/process/coldstarts.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from primrosesaddle.calls import backends, placement, request
-from primrosesaddle.fleet import fleetview, mesh, node
+from primrosesaddle.fleet import fleetview, mesh, node, servers
 from primrosesaddle.membership import peers, wire
 from primrosesaddle.restrictions import coldshares, coldstart, knownentries
 from primrosesaddle.telemetry import journal, metrics
@@ -24,6 +24,7 @@
         view: fleetview.View,
         known_backends: backends.Backends,
         bounds: node.Bounds,
+        entry_metrics: metrics.Metrics,
     ) -> None:
         """Create the rules of an entry; see `make_cold_starts`."""
         self._shares = shares
@@ -31,6 +32,8 @@
         self._view = view
         self._backends = known_backends
         self._bounds = bounds
+        self._metrics = entry_metrics
+        self._adopted: dict[str, servers.BackendServer] = {}
 
     def make_constraints(self) -> placement.Constraints:
         """Return the rules for placement."""
@@ -39,7 +42,7 @@
         )
 
     def update_from_view(self) -> None:
-        """Adopt the published configuration and servers."""
+        """Adopt the published configuration, and servers that are published again."""
         conf = self._view.configuration
         services = {} if conf is None else conf.services
         self._shares.limits = {
@@ -87,6 +90,7 @@
         target = _make_target(backend)
         self._shares.record_sent(target, call.call_id)
         if self._shares.servers.get_remaining_s(target.incarnation):
+            self._metrics.count('calls_sent_to_cold', service=target.service)
             journal.info(
                 'call.sent_to_cold',
                 id=call.call_id,
@@ -111,8 +115,12 @@
         return self._shares.servers.count_cold()
 
     async def run(self, links: mesh.Mesh) -> None:
-        """Keep up to date which entries there are, until cancelled."""
+        """Keep up to date which entries there are, until cancelled.
+
+        Cold times that count down are no change of the view, and are adopted here.
+        """
         while True:
+            self.update_from_view()
             for peer in links.members.alive_peers('entry'):
                 self.hear(peer.card)
             self._shares.sweep()
@@ -131,7 +139,11 @@
             service = services.get(record.service)
             if service is not None and service.name in self._shares.limits:
                 incarnation = record.server_id, record.start_time_ms
-                yield incarnation, service.cold_start_s, record.cold_remaining_s
+                # What a record states holds from when it was received.
+                is_new = self._adopted.get(record.server_id) is not record
+                stated_s = record.cold_remaining_s if is_new else 0.0
+                yield incarnation, service.cold_start_s, stated_s
+        self._adopted = dict(self._view.servers)
 
 
 def make_cold_starts(
@@ -164,7 +176,7 @@
         is_informed,
         clock,
     )
-    rules = ColdStarts(shares, entries, view, known_backends, cfg.bounds)
+    rules = ColdStarts(shares, entries, view, known_backends, cfg.bounds, entry_metrics)
     links.roster_listeners.append(rules.hear)
     links.members.on_left.append(rules.forget_leaving)
     entry_metrics.gauge('cold_servers', rules.count_cold)
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -342,3 +342,21 @@
         _assert(fleet.entry.cold_starts.count_cold(), matchers.Equals(1))
 
     in_fleet(check, server)
+
+
+def test_a_cold_time_is_counted_once(in_fleet):
+    """Each change of the view must not let the last stated time begin anew."""
+    server = stand.Server('a')
+
+    async def check(fleet):
+        fleet.store.put('op/config', _configure(4))
+        await fleet.until(lambda: fleet.entry.configuration_version == 2)
+        fleet.store.put('servers/i-a', server.record(coldRemainingMs=600))
+        await fleet.until(fleet.entry.cold_starts.count_cold)
+        for version in range(3, 9):
+            fleet.store.put('op/config', {**_configure(4), 'version': version})
+            await asyncio.sleep(0.2)
+        await fleet.until(lambda: fleet.entry.configuration_version == version)
+        _assert(fleet.entry.cold_starts.count_cold(), matchers.Equals(0))
+
+    in_fleet(check, server)
