--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -15,6 +15,7 @@
         'version.named',
         'version.age',
         'version.required',
+        'servers.cold',
         'store.lost',
         'store.regained',
         'process.started',
