Admission: room is estimated by the servers that a call may go to

Cause: the expected wait was that of the rate at which all servers granted slots, also those that were evacuated a moment ago or lie outside the homes of a call. The times of grants were also kept for good by an entry where no call ever waits. The refusal of excluded calls is a function of its own.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 from collections.abc import Callable
 
 from primrosesaddle.calls import backends, placement, request, routes
@@ -52,14 +53,16 @@
     """The calls that wait for one service, by rank, and recent times of the service.
 
     `start_s` is the moving average of the time from a granted slot to the first byte,
-    `start_deviation_s` that of its deviation; `granted` holds when slots were granted.
+    `start_deviation_s` that of its deviation; `granted` holds when slots were granted,
+    and of which server.
     """
 
     def __init__(self) -> None:
         self.ranks: list[collections.deque[_Waiter]] = [
             collections.deque() for _ in range(routes.RANK_COUNT)
         ]
-        self.granted: collections.deque[float] = collections.deque()
+        self.granted: collections.deque[tuple[float, backends.Backend]]
+        self.granted = collections.deque()
         self.start_s = 0.0
         self.start_deviation_s = 0.0
 
@@ -71,15 +74,15 @@
         """Return how many calls wait with this rank or a more urgent one."""
         return sum(len(waiting) for waiting in self.ranks[: rank + 1])
 
-    def has_rival(self, call: request.Call) -> bool:
-        """Return whether a call waits that goes first wherever this one may go.
+    def has_rival(self, rank: int, homes: frozenset[str] | None) -> bool:
+        """Return whether a call waits that goes first wherever another one may go.
 
         That is one with its rank or a more urgent one, and with its homes or more.
         """
         return any(
             waiter.call.homes is None
-            or (call.homes is not None and call.homes <= waiter.call.homes)
-            for waiting in self.ranks[: _get_queue_rank(call) + 1]
+            or (homes is not None and homes <= waiter.call.homes)
+            for waiting in self.ranks[: rank + 1]
             for waiter in waiting
         )
 
@@ -94,11 +97,28 @@
             abs(difference_s) - self.start_deviation_s
         )
 
-    def compute_grant_rate(self, now: float) -> float:
-        """Return the slots granted per second in the last `RATE_WINDOW_S`."""
-        while self.granted and now - self.granted[0] > RATE_WINDOW_S:
+    def compute_grant_rate(
+        self, now: float, may_serve: Callable[[backends.Backend], bool]
+    ) -> float:
+        """Return the slots granted per second in the last `RATE_WINDOW_S`.
+
+        Only those of servers that `may_serve` a call count: what others granted just
+        before an evacuation, or outside its homes, is no room for it.
+        """
+        self._forget_grants(now)
+        by_id = {backend.server_id: backend for _, backend in self.granted}
+        allowed = {name for name, backend in by_id.items() if may_serve(backend)}
+        counted = [at for at, backend in self.granted if backend.server_id in allowed]
+        return len(counted) / RATE_WINDOW_S
+
+    def record_grant(self, now: float, backend: backends.Backend) -> None:
+        """Record that a slot of a server was granted."""
+        self.granted.append((now, backend))
+        self._forget_grants(now)
+
+    def _forget_grants(self, now: float) -> None:
+        while self.granted and now - self.granted[0][0] > RATE_WINDOW_S:
             self.granted.popleft()
-        return len(self.granted) / RATE_WINDOW_S
 
 
 class Admission:
@@ -137,14 +157,14 @@
         """
         now = self._clock()
         queue = self._queues.setdefault(service.name, _Queue())
-        if not queue.has_rival(call):
+        if not queue.has_rival(_get_queue_rank(call), call.homes):
             choice = self._choose_server(call, service)
             if choice is not None:
                 self._take_slot(queue, call, choice, now)
                 return choice
         exclusion = self._placer.explain_full_exclusion(call, service)
         if exclusion:
-            raise self._make_refusal(call, None, f'excluded: {exclusion}')
+            raise _make_excluded_refusal(call, exclusion, now)
         ready_s = self._estimate_ready_s(call, service)
         max_wait_s = self._compute_max_wait_s(call, service, queue, ready_s)
         expected_wait_s = self._estimate_wait_s(call, service, queue, ready_s)
@@ -194,10 +214,9 @@
                     waiter.call, waiter.service
                 )
                 if reason:
-                    refusal = self._make_refusal(
-                        waiter.call, None, f'excluded: {reason}'
+                    waiter.refuse(
+                        _make_excluded_refusal(waiter.call, reason, self._clock())
                     )
-                    waiter.refuse(refusal)
 
     def may_serve(self, call: request.Call, backend: backends.Backend) -> bool:
         """Return whether a call may go to a server at all."""
@@ -321,7 +340,7 @@
         choice.backend.add_call(call)
         for member in choice.chain[1:]:
             member.backend.passing_calls += 1
-        queue.granted.append(now)
+        queue.record_grant(now, choice.backend)
         for listener in self.grant_listeners:
             listener(call, choice)
 
@@ -372,7 +391,9 @@
         if ready_s is not None and call.spent_s:
             if ahead < self._placer.count_slots(call, service):
                 return ready_s
-        rate = queue.compute_grant_rate(self._clock())
+        rate = queue.compute_grant_rate(
+            self._clock(), functools.partial(self.may_serve, call)
+        )
         return ahead / rate if rate else 0.0
 
     def _estimate_quiet_s(
@@ -402,6 +423,20 @@
         )
 
 
+def _make_excluded_refusal(
+    call: request.Call, reason: str, now: float
+) -> verdict.Refusal:
+    """Return the refusal of a call that may go to no server of its service.
+
+    When that ends is not known, so that the caller is asked to come back as late as it
+    is certain to.
+    """
+    retry_after_s = min(MAX_RETRY_AFTER_S, (call.deadline_at - now) / 3)
+    return verdict.not_run(
+        f'excluded: {reason}', 503, round(max(MIN_RETRY_AFTER_S, retry_after_s), 2)
+    )
+
+
 def _make_quiet_refusal(quiet_s: float) -> verdict.Refusal:
     """Return the refusal of a call whose servers want no calls for a while."""
     retry_after_s = round(max(MIN_RETRY_AFTER_S, quiet_s), 2)
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 import typing
 from collections.abc import Awaitable, Callable
@@ -104,7 +105,7 @@
             self._deps.view.configuration,
             self._deps.backends,
             self._deps.rand,
-            lambda backend: self._deps.admission.may_serve(call, backend),
+            functools.partial(self._deps.admission.may_serve, call),
         )
         contest = race.Race()
         contest.start(self._run_attempt(call, sink, service, contest))
--- a/tests/test_restrictions.py
+++ b/tests/test_restrictions.py
@@ -1,6 +1,7 @@
 """Homes and evacuations: where calls and callers may go, without a network."""
 
 import asyncio
+import functools
 import json
 import random
 import types
@@ -229,6 +230,12 @@
         await asyncio.sleep(0)
         free = await queue.acquire_slot(stand.make_call(), stand.SERVICE)
         assert free.backend.server_id != 'a'
+        granted = queue._queues[stand.SERVICE.name]
+        rates = [
+            granted.compute_grant_rate(0.0, functools.partial(queue.may_serve, call))
+            for call in (at_home, stand.make_call())
+        ]
+        _assert_equal(rates, [0.0, 1 / admission.RATE_WINDOW_S])
         _put(view, 'd1')
         queue.refuse_excluded()
         for wait in (waiting, queue.acquire_slot(at_home, stand.SERVICE)):
