--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -124,7 +124,8 @@
 class Admission:
     """Gives slots of servers to calls: the most urgent first, then the oldest.
 
-    `grant_listeners` are called with each call that gets a slot.
+    `grant_listeners` are called with each call that gets a slot. `excluded_count` is
+    the number of calls that were refused as they might go to no server of a service.
     """
 
     def __init__(
@@ -143,6 +144,7 @@
         self._queues: dict[str, _Queue] = {}
         self._has_waiters = asyncio.Event()
         self.grant_listeners: list[GrantListener] = []
+        self.excluded_count = 0
 
     def count_waiting(self) -> int:
         """Return the number of calls that wait."""
@@ -164,7 +166,7 @@
                 return choice
         exclusion = self._placer.explain_full_exclusion(call, service)
         if exclusion:
-            raise _make_excluded_refusal(call, exclusion, now)
+            raise self._make_excluded_refusal(call, exclusion)
         ready_s = self._estimate_ready_s(call, service)
         max_wait_s = self._compute_max_wait_s(call, service, queue, ready_s)
         expected_wait_s = self._estimate_wait_s(call, service, queue, ready_s)
@@ -214,9 +216,7 @@
                     waiter.call, waiter.service
                 )
                 if reason:
-                    waiter.refuse(
-                        _make_excluded_refusal(waiter.call, reason, self._clock())
-                    )
+                    waiter.refuse(self._make_excluded_refusal(waiter.call, reason))
 
     def may_serve(self, call: request.Call, backend: backends.Backend) -> bool:
         """Return whether a call may go to a server at all."""
@@ -410,6 +410,20 @@
         required = self._get_required_version(call.model)
         return self._placer.estimate_ready_s(call, service, required)
 
+    def _make_excluded_refusal(
+        self, call: request.Call, reason: str
+    ) -> verdict.Refusal:
+        """Return the refusal of a call that may go to no server of its service.
+
+        When that ends is not known, so that the caller is asked to come back as late
+        as it is certain to.
+        """
+        self.excluded_count += 1
+        retry_after_s = min(MAX_RETRY_AFTER_S, (call.deadline_at - self._clock()) / 3)
+        return verdict.not_run(
+            f'excluded: {reason}', 503, round(max(MIN_RETRY_AFTER_S, retry_after_s), 2)
+        )
+
     def _make_refusal(
         self, call: request.Call, ready_s: float | None, reason: str
     ) -> verdict.Refusal:
@@ -423,20 +437,6 @@
         )
 
 
-def _make_excluded_refusal(
-    call: request.Call, reason: str, now: float
-) -> verdict.Refusal:
-    """Return the refusal of a call that may go to no server of its service.
-
-    When that ends is not known, so that the caller is asked to come back as late as it
-    is certain to.
-    """
-    retry_after_s = min(MAX_RETRY_AFTER_S, (call.deadline_at - now) / 3)
-    return verdict.not_run(
-        f'excluded: {reason}', 503, round(max(MIN_RETRY_AFTER_S, retry_after_s), 2)
-    )
-
-
 def _make_quiet_refusal(quiet_s: float) -> verdict.Refusal:
     """Return the refusal of a call whose servers want no calls for a while."""
     retry_after_s = round(max(MIN_RETRY_AFTER_S, quiet_s), 2)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -140,6 +140,7 @@
         )
         self._metrics.gauge('in_flight', lambda: self._request_intake.in_flight)
         self._metrics.gauge('waiting', self._admission.count_waiting)
+        self._metrics.gauge('excluded_calls', lambda: self._admission.excluded_count)
 
     @property
     def ready(self) -> bool:
--- a/tests/test_restrictions.py
+++ b/tests/test_restrictions.py
@@ -244,5 +244,6 @@
             _assert_equal((refused.value.status, refused.value.retryable), (503, True))
             assert refused.value.retry_after_s > 0
             assert 'evacuated=d1:1' in refused.value.reason
+        _assert_equal(queue.excluded_count, 2)
 
     asyncio.run(check())
