Room: loads in answers stand for missing reports

The newest load of an answer now stands for a missing report, and the mean use for engines without either.

Test: test_loads_in_answers_stand_for_missing_reports.

--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -1,8 +1,10 @@
 """Control of an entry's part in the room of a service that all entries share.
 
-It takes effect while half or more of the slots that agents report are in use. Without
-fresh reports, as at a plain service or at an entry that is cut off, the entry decides
-by its own counts alone. Nothing but the figures of the moment keeps a limit up.
+It takes effect while half or more of the slots of a service's engines are in use, by
+the reports of their agents. Where reports are missing, as after a restart of all
+processes, the loads in answers stand for them, and their mean for engines without
+either. Without any figure, and at plain services, the entry decides by its own counts
+alone. Nothing but the figures of the moment keeps a limit up.
 """
 
 import dataclasses
@@ -21,6 +23,8 @@
 # Calls that cannot be in time run only where this part of the slots is enough for all:
 # they take no room from a call that can be.
 LATE_USE = 0.5
+# Engines without a figure are taken to be used as the others are, for this time.
+UNSEEN_INTERVAL_S = 0.35
 USE_INTERVAL_S = 0.05  # the use of a service is added up again after this
 
 
@@ -36,9 +40,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Drawn:
-    """A report, this entry's calls as it came, and the number drawn for it."""
+    """A figure of a server, by when it came, and what belongs to it.
 
-    report: backends.Report
+    `total` is the number of calls there, `own` that of this entry's as it came, `draw`
+    the number drawn for it.
+    """
+
+    came_at: float
+    total: float
     own: int
     draw: float
 
@@ -69,25 +78,19 @@
     ) -> int | None:
         """Return how many calls this entry may have at a server, one more included.
 
-        Returns None while there is no competition for its service, or no fresh report.
+        Returns None while there is no competition for its service, or no figure of it.
         """
-        now = self._clock()
-        report = backend.get_fresh_report(now)
         service = backend.record.service
-        if report is None or not self.is_engaged(service):
+        if not call.model or not self.is_engaged(service):
             return None
         urgency = self.find_urgency(call, service)
         slots = backend.record.slots or 1
-        total = report.active + report.queued
-        if urgency is ranks.Urgency.LATE and total > LATE_USE * slots:
+        drawn = self._draw(backend)
+        if urgency is ranks.Urgency.LATE and drawn.total > LATE_USE * slots:
             return 0
         state = self._get_state(service)
-        drawn = self._drawn.get(backend.server_id)
-        if drawn is None or drawn.report is not report:
-            drawn = _Drawn(report, len(backend.calls), self._rand.random())
-            self._drawn[backend.server_id] = drawn
         return shares.compute_own_limit(
-            shares.ServerLoad(slots, total, drawn.own),
+            shares.ServerLoad(slots, drawn.total, drawn.own),
             ranks.compute_target(slots, urgency, state.recent.list_shares()),
             state.fleet.share,
             drawn.draw,
@@ -98,7 +101,7 @@
         return self.get_use(service) >= ENGAGED_USE
 
     def get_use(self, service: str) -> float:
-        """Return the use of the slots of a service, by fresh reports of its agents."""
+        """Return the use of the slots of a service, by the newest figures."""
         state = self._get_state(service)
         now = self._clock()
         if now - state.added_at >= USE_INTERVAL_S:
@@ -180,13 +183,26 @@
     def _add_loads(self, service: str, now: float) -> shares.FleetUse:
         loads = []
         for backend in self._backends.list_servers(service):
-            report = backend.get_fresh_report(now)
-            if report is not None and report.reachable and not report.switching:
-                total = report.active + report.queued
+            figure = _find_figure(backend, now)
+            if figure is not None and self._backends.is_present(backend):
                 slots = backend.record.slots or 1
-                loads.append(shares.ServerLoad(slots, total, len(backend.calls)))
+                loads.append(shares.ServerLoad(slots, figure[1], len(backend.calls)))
         return shares.add_loads(loads, self._count_entries())
 
+    def _draw(self, backend: backends.Backend) -> _Drawn:
+        """Return the newest figure of a server, drawn for when it came."""
+        now = self._clock()
+        figure = _find_figure(backend, now)
+        if figure is None:
+            use = self.get_use(backend.record.service)
+            figure = now // UNSEEN_INTERVAL_S, use * (backend.record.slots or 1)
+        came_at, total = figure
+        drawn = self._drawn.get(backend.server_id)
+        if drawn is None or drawn.came_at != came_at:
+            drawn = _Drawn(came_at, total, len(backend.calls), self._rand.random())
+            self._drawn[backend.server_id] = drawn
+        return drawn
+
     def _record_outcome(
         self, call: request.Call, service: str, *, served: bool
     ) -> None:
@@ -200,6 +216,23 @@
         self._drawn.pop(backend.server_id, None)
 
 
+def _find_figure(backend: backends.Backend, now: float) -> tuple[float, float] | None:
+    """Return when a figure of a server came, and its calls; None without a fresh one.
+
+    That is its agent's report, or the load in an answer. Plain services have none.
+    """
+    if backend.report is None and not backend.record.models:
+        return None
+    report = backend.get_fresh_report(now)
+    if report is not None:
+        if report.switching:
+            return None
+        return report.received_at, report.active + report.queued
+    if now - backend.other_calls_at <= backends.LOAD_STALE_S:
+        return backend.other_calls_at, backend.count_calls(now)
+    return None
+
+
 def _list_groups(call: request.Call) -> tuple[str, ...]:
     """Return the groups of a call that each keep a floor: its route and workspace."""
     groups = (f'route={call.route.name}',)
--- a/src/primrosesaddle/overload/shares.py
+++ b/src/primrosesaddle/overload/shares.py
@@ -19,10 +19,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """The slots of a server, and its calls by its last report: all, and own ones."""
+    """The slots of a server, and its calls by the last figure: all, and own ones."""
 
     slots: int
-    total: int
+    total: float
     own: int
 
 
@@ -43,7 +43,8 @@
 
     An entry with few calls gets as much of what is free as an equal share.
     """
-    slots = total = own = 0
+    slots = own = 0
+    total = 0.0
     for load in loads:
         slots += load.slots
         total += load.total
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -151,11 +151,23 @@
 def test_an_entry_without_fresh_reports_decides_by_its_own_counts(engines):
     """An entry that is cut off would keep the limit of the last report for ever."""
     room, set_load = engines
-    backend = set_load(12, age_s=backends.REPORT_STALE_S + 0.1)
+    backend = set_load(12, age_s=backends.LOAD_STALE_S + 0.1)
     limit = room.limit_own_calls(stand.make_call(), backend)
     assertions.assert_that(limit, matchers.Is(None))
 
 
+def test_loads_in_answers_stand_for_missing_reports(engines):
+    """After a restart of all processes, agents are not linked for some seconds."""
+    room, set_load = engines
+    backend = set_load(0, age_s=backends.REPORT_STALE_S + 0.1)
+    backend.update_load(20, backend.report.received_at + 0.9)
+    call = stand.make_call()
+    backend.add_call(call)
+    assertions.assert_that(
+        room.limit_own_calls(call, backend), matchers.LessThan(12 / 4)
+    )
+
+
 def test_a_late_retry_takes_no_slot_that_a_call_in_time_needs(engines):
     """A late answer takes the room of one that would be in time."""
     room, set_load = engines
@@ -176,3 +188,17 @@
     assertions.assert_that(
         room.find_urgency(starved, 'engines'), matchers.Equals(ranks.Urgency.FIRST)
     )
+
+
+def test_an_urgent_route_goes_before_a_deferrable_one_of_a_higher_workspace(engines):
+    """A call that cannot wait was refused behind calls that could wait longer."""
+    room, set_load = engines
+    set_load(12)
+    deferrable = stand.make_call(
+        route=dataclasses.replace(stand.ROUTE, name='deferrable', rank=2), rank=2
+    )
+    urgent = stand.make_call(rank=3)
+    assertions.assert_that(
+        room.find_queue_rank(urgent, 'engines'),
+        matchers.LessThan(room.find_queue_rank(deferrable, 'engines')),
+    )
