Room: only servers that hold an allowed version count as room

The log says when entries begin and cease to compete, and story shows it.

Test: test_servers_that_hold_no_allowed_version_are_no_room.

--- a/bench/overloadworld.py
+++ b/bench/overloadworld.py
@@ -338,7 +338,7 @@
 
 def make_sharing_entry(known, rand, clock, count):
     """Return an admission that shares the room with `count` entries."""
-    room = control.Control(known, lambda: count, rand, clock)
+    room = control.Control(known, lambda: count, rand, clock, lambda model: 0)
     placer = placement.Placer(
         known,
         'd1',
--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -8,12 +8,13 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
 from primrosesaddle.calls import backends, request
 from primrosesaddle.overload import comeback, floors, ranks, shares
-from primrosesaddle.telemetry import metrics
+from primrosesaddle.telemetry import journal, metrics
 
 __all__ = ('Control',)
 
@@ -25,15 +26,21 @@
 LATE_USE = 0.5
 # Engines without a figure are taken to be used as the others are, for this time.
 UNSEEN_INTERVAL_S = 0.35
+LOG_INTERVAL_S = 1.0  # between lines about the use of a service
 USE_INTERVAL_S = 0.05  # the use of a service is added up again after this
 
 
 @dataclasses.dataclass(slots=True)
 class _ServiceState:
-    """What is known of a service: its use as of `added_at`, and recent calls."""
+    """What is known of a service: its use as of `added_at`, and recent calls.
+
+    `is_contended` is what the log says of it, since `logged_at`.
+    """
 
     fleet: shares.FleetUse = dataclasses.field(default_factory=shares.FleetUse)
     added_at: float = -1.0
+    is_contended: bool = False
+    logged_at: float = -math.inf
     recent: ranks.RecentCalls = dataclasses.field(default_factory=ranks.RecentCalls)
     outcomes: floors.Floors = dataclasses.field(default_factory=floors.Floors)
 
@@ -61,9 +68,14 @@
         count_entries: Callable[[], int],
         rand: random.Random,
         clock: Callable[[], float],
+        get_required_version: Callable[[str], int],
         counters: metrics.Metrics | None = None,
     ) -> None:
-        """Create a control; `count_entries` returns how many entries share the room."""
+        """Create a control; `count_entries` returns how many entries share the room.
+
+        `get_required_version` returns the lowest version of a model that is allowed.
+        """
+        self._get_required_version = get_required_version
         self._backends = known_backends
         self._count_entries = count_entries
         self._rand = rand
@@ -107,6 +119,7 @@
         if now - state.added_at >= USE_INTERVAL_S:
             state.added_at = now
             state.fleet = self._add_loads(service, now)
+            self._log_contention(service, state, now)
         return state.fleet.use
 
     def get_highest_use(self) -> float:
@@ -184,11 +197,36 @@
         loads = []
         for backend in self._backends.list_servers(service):
             figure = _find_figure(backend, now)
-            if figure is not None and self._backends.is_present(backend):
+            if figure is not None and self._serves(backend, now):
                 slots = backend.record.slots or 1
                 loads.append(shares.ServerLoad(slots, figure[1], len(backend.calls)))
         return shares.add_loads(loads, self._count_entries())
 
+    def _log_contention(self, service: str, state: _ServiceState, now: float) -> None:
+        """Log that entries begin or cease to compete, not more than once a second."""
+        is_contended = state.fleet.use >= ENGAGED_USE
+        since_s = now - state.logged_at
+        if is_contended == state.is_contended or since_s < LOG_INTERVAL_S:
+            return
+        state.is_contended = is_contended
+        state.logged_at = now
+        journal.info(
+            'room.contended' if is_contended else 'room.free',
+            service=service,
+            use=round(state.fleet.use, 2),
+            share=round(state.fleet.share, 3),
+            entries=self._count_entries(),
+        )
+
+    def _serves(self, backend: backends.Backend, now: float) -> bool:
+        """Return whether a server is there, and holds layers of an allowed version."""
+        report = backend.get_fresh_report(now)
+        held = backend.record.models if report is None else report.models
+        return self._backends.is_present(backend) and any(
+            span.version >= self._get_required_version(model)
+            for model, span in held.items()
+        )
+
     def _draw(self, backend: backends.Backend) -> _Drawn:
         """Return the newest figure of a server, drawn for when it came."""
         now = self._clock()
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -90,6 +90,7 @@
             self.mesh.count_entries,
             self._rand,
             self._clock,
+            self._required_version,
             self._metrics,
         )
         self._metrics.gauge('slots_use', self._room.get_highest_use)
--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -20,6 +20,8 @@
         'process.started',
         'process.woke',
         'entry.leaving',
+        'room.contended',
+        'room.free',
     )
 )
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -129,12 +129,15 @@
         servers.BackendServer(name, 'engines', f'{name}:1', 'd1', 12, False, models)
         for name in ('a', 'b')
     )
-    room = control.Control(known, lambda: 16, random.Random(1), lambda: now[0])
+    room = control.Control(
+        known, lambda: 16, random.Random(1), lambda: now[0], lambda model: 1
+    )
 
-    def set_load(active, age_s=0.0):
+    def set_load(active, age_s=0.0, loading=()):
         now[0] += 1.0
         for name in ('a', 'b'):
-            report = backends.Report(now[0] - age_s, active, 0, models, False)
+            active_there, held = (0, {}) if name in loading else (active, models)
+            report = backends.Report(now[0] - age_s, active_there, 0, held, False)
             known.update_report(f'{name}:1', report)
         return known.get_by_id('a')
 
@@ -148,6 +151,13 @@
     assertions.assert_that(limit, matchers.Is(None))
 
 
+def test_servers_that_hold_no_allowed_version_are_no_room(engines):
+    """While most servers load a new version, the others are full at a small use."""
+    room, set_load = engines
+    set_load(12, loading=('b',))
+    assertions.assert_that(room.get_use('engines'), matchers.Equals(1.0))
+
+
 def test_an_entry_without_fresh_reports_decides_by_its_own_counts(engines):
     """An entry that is cut off would keep the limit of the last report for ever."""
     room, set_load = engines
