--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -24,6 +24,8 @@
         'evacuation.in_force',
         'evacuation.requested',
         'evacuation.ended',
+        'room.contended',
+        'room.free',
     )
 )
 
