--- a/bench/overloadworld.py
+++ b/bench/overloadworld.py
@@ -31,7 +31,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """A kind of calls: its share of all, rank, times in seconds and sizes in tokens."""
+    """A kind of calls: its share of all, rank, times in seconds and sizes in tokens.
+
+    `rank` is the route's, `workspace_rank` its callers', None where they state none.
+    """
 
     name: str
     share: float
@@ -39,6 +42,11 @@
     objective_s: float
     prompt_tokens: int
     answer_tokens: int
+    workspace_rank: int | None = None
+
+    def make_workspace(self, name):
+        """Return a workspace of these callers."""
+        return routes.Workspace(name, self.workspace_rank)
 
     def make_route(self):
         """Return the route of these calls."""
@@ -268,6 +276,7 @@
             max(50, int(kind.prompt_tokens * size)), kind.answer_tokens
         )
         retry_after_s = 0.0
+        rank = routes.compute_rank(route, kind.make_workspace(kind.name))
         for attempt in range(2):
             await asyncio.sleep(retry_after_s)
             spent_s = self._clock() - first_at
@@ -279,7 +288,7 @@
                 body=b'',
                 route=route,
                 workspace=f'w{self._rand.randrange(24)}',
-                rank=routes.compute_rank(route, None),
+                rank=rank,
                 arrived_at=self._clock(),
                 deadline_at=first_at + 6.0,
                 configuration=1,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -24,6 +24,11 @@
     world.Kind('urgent', 0.43, 0, 0.4, 827, 110),
     world.Kind('brief', 0.23, 1, 0.4, 647, 70),
 )
+PAID_AND_FREE = (
+    world.Kind('free', 0.4, 0, 0.4, 827, 110, workspace_rank=2),
+    world.Kind('paid', 0.4, 2, 1.0, 1330, 110, workspace_rank=0),
+    world.Kind('paid brief', 0.2, 1, 0.4, 647, 70, workspace_rank=0),
+)
 
 
 def _play(kinds, rates, **options):
@@ -66,6 +71,26 @@
     )
 
 
+def test_a_flood_of_low_workspaces_leaves_room_to_the_high_ones():
+    """A workspace's rank takes precedence, also over the most urgent route.
+
+    The flood is still served a quarter as often as all calls are.
+    """
+    played = _play(
+        PAID_AND_FREE,
+        [(4, 0.6 * ROOM), (8, 0.7 * ROOM)],
+        extra_rates={1: {'free': 3.2}},
+    )
+    burst = played.sum_windows('', 4, 12)
+    free = played.sum_windows('free', 4, 12)
+    for name in ('paid', 'paid brief'):
+        paid = played.sum_windows(name, 4, 12)
+        assertions.assert_that(paid.share_in_time, matchers.GreaterThan(0.85), name)
+    assertions.assert_that(
+        free.share_served, matchers.GreaterThan(burst.share_served / 4)
+    )
+
+
 def test_shares_of_free_slots_add_up_over_the_entries():
     """Sixteen entries that see two free slots would send sixteen calls or more."""
     rand = random.Random(1)
