Room: calls get room by the workspace's rank before the route's

Cause: overload/ranks.py classified calls by their route's rank alone and put it before the workspace's, while the platform lets a workspace's priority take precedence. Change: the queue and the slots kept free follow Call.rank; recent calls are counted by rank. With up to three ranks the sums are those of before; with more, all together leave half of the slots free at most. Calls of a group that is behind are first in the queue too. Late retries have a rank of their own behind the last one. The calls that may queue behind a full server are at most a quarter of its slots.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -60,7 +60,7 @@
 
     def __init__(self) -> None:
         self.ranks: list[collections.deque[_Waiter]] = [
-            collections.deque() for _ in range(routes.RANK_COUNT)
+            collections.deque() for _ in range(routes.LATE_RANK + 1)
         ]
         self.granted: collections.deque[float] = collections.deque()
         self.start_s = 0.0
@@ -447,18 +447,14 @@
         """Return the rank of a call in the queue.
 
         An interrupted stream comes first, as the part that the caller has would be
-        lost. A late retry comes last. While entries compete for slots, the room that
-        they share decides about the others.
+        lost. A late retry comes last. While entries compete for slots, a call of a
+        group that is behind comes first too.
         """
+        if self._room is not None:
+            return self._room.find_rank(call, service.name)
         if call.answer_started:
             return 0
-        if self._room is not None:
-            rank = self._room.find_queue_rank(call, service.name)
-            if rank is not None:
-                return rank
-        if call.is_late_retry:
-            return routes.RANK_COUNT - 1
-        return call.rank
+        return routes.LATE_RANK if call.is_late_retry else call.rank
 
 
 def _make_quiet_refusal(quiet_s: float) -> verdict.Refusal:
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping, Sequence
 
 __all__ = (
+    'LATE_RANK',
     'RANK_COUNT',
     'Configuration',
     'EngineProfile',
@@ -20,6 +21,7 @@
 
 
 RANK_COUNT = 10  # 0 is the most urgent
+LATE_RANK = RANK_COUNT  # of retries that are too late, behind calls of all ranks
 _ROUTE_RANKS = 3  # ranks of routes that are distinguished within a workspace's rank
 
 
--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -76,10 +76,10 @@
         service = backend.record.service
         if report is None or not self.is_engaged(service):
             return None
-        urgency = self.find_urgency(call, service)
+        rank = self.find_rank(call, service)
         slots = backend.record.slots or 1
         total = report.active + report.queued
-        if urgency is ranks.Urgency.LATE and total > LATE_USE * slots:
+        if rank >= ranks.LATE and total > LATE_USE * slots:
             return 0
         state = self._get_state(service)
         drawn = self._drawn.get(backend.server_id)
@@ -88,7 +88,7 @@
             self._drawn[backend.server_id] = drawn
         return shares.compute_own_limit(
             shares.ServerLoad(slots, total, drawn.own),
-            ranks.compute_target(slots, urgency, state.recent.list_shares()),
+            ranks.compute_target(slots, rank, state.recent.list_shares()),
             state.fleet.share,
             drawn.draw,
         )
@@ -110,28 +110,15 @@
         """Return the use of the slots of the service that is used most."""
         return max(map(self.get_use, self._services), default=0.0)
 
-    def find_urgency(self, call: request.Call, service: str) -> ranks.Urgency:
-        """Return the class of a call; one of a group that is behind is in the first."""
-        if call.answer_started:
-            return ranks.Urgency.FIRST
-        if self.find_behind(call, service):
-            return ranks.Urgency.FIRST
-        if call.is_late_retry:
-            return ranks.Urgency.LATE
-        return ranks.classify(call.route.rank)
-
-    def find_queue_rank(self, call: request.Call, service: str) -> int | None:
-        """Return the place of a call's class in the queue, None without competition.
-
-        A route's urgency goes before a workspace's rank, as it is the route that tells
-        how long a call can wait.
+    def find_rank(self, call: request.Call, service: str) -> int:
+        """Return the rank by which a call gets room; one of a group behind is first.
+
+        It is the call's own, in which its workspace's rank takes precedence over its
+        route's, `ranks.LATE` for a retry that is too late.
         """
-        if not self.is_engaged(service):
-            return None
-        urgency = self.find_urgency(call, service)
-        if urgency is ranks.Urgency.LATE:
-            return None
-        return ranks.compute_queue_rank(urgency, call.rank)
+        if call.answer_started or self.find_behind(call, service):
+            return ranks.FIRST
+        return ranks.LATE if call.is_late_retry else call.rank
 
     def find_behind(self, call: request.Call, service: str) -> str:
         """Return a group of a call that is below its floor, empty for none."""
@@ -143,8 +130,7 @@
     def record_arrival(self, call: request.Call, service: str) -> None:
         """Record a call that asks for a slot."""
         if not call.tried and not call.is_late_retry:
-            urgency = ranks.classify(call.route.rank)
-            self._get_state(service).recent.record(urgency, self._clock())
+            self._get_state(service).recent.record(call.rank, self._clock())
 
     def record_granted(self, call: request.Call, service: str) -> None:
         """Record that a call got a slot."""
@@ -167,10 +153,10 @@
         """
         if not self.is_engaged(service):
             return 'own'
-        urgency = self.find_urgency(call, service)
-        if urgency is ranks.Urgency.LATE:
+        rank = self.find_rank(call, service)
+        if rank >= ranks.LATE:
             return 'late'
-        return 'rank' if urgency > ranks.Urgency.FIRST else 'use'
+        return 'rank' if rank > ranks.FIRST else 'use'
 
     def choose_retry_s(self, call: request.Call) -> float:
         """Return after how many seconds the caller of a refused call may come back."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,7 +8,7 @@
 from testtools import assertions, matchers
 
 import enginestand as stand
-from primrosesaddle.calls import backends
+from primrosesaddle.calls import backends, routes
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.overload import comeback, control, floors, ranks, shares
@@ -114,14 +114,44 @@
 def test_less_urgent_calls_leave_no_slots_to_calls_that_do_not_come():
     """Slots that are kept for nobody are lost to those who wait."""
     recent = ranks.RecentCalls()
-    recent.record(ranks.Urgency.THIRD, 0.0)
-    target = ranks.compute_target(12, ranks.Urgency.THIRD, recent.list_shares())
+    recent.record(8, 0.0)
+    target = ranks.compute_target(12, 8, recent.list_shares())
     assertions.assert_that(target, matchers.GreaterThan(12))
-    recent.record(ranks.Urgency.FIRST, 0.1)
-    target = ranks.compute_target(12, ranks.Urgency.THIRD, recent.list_shares())
+    recent.record(0, 0.1)
+    target = ranks.compute_target(12, 8, recent.list_shares())
     assertions.assert_that(target, matchers.LessThan(11))
 
 
+def test_room_is_graded_by_the_workspaces_rank_and_then_by_the_routes():
+    """Nine ranks that each leave a quarter free would leave the last ones no slot."""
+    recent = ranks.RecentCalls()
+    for rank in range(9):
+        recent.record(rank, 0.0)
+    targets = [
+        ranks.compute_target(12, rank, recent.list_shares()) for rank in range(9)
+    ]
+    assertions.assert_that(targets, matchers.Equals(sorted(targets, reverse=True)))
+    assertions.assert_that(len(set(targets)), matchers.Equals(9))
+    assertions.assert_that(targets[-1], matchers.GreaterThan(12 / 2))
+
+
+def test_three_routes_without_workspaces_leave_a_quarter_for_each_rank():
+    """Where no workspace states a rank, routes alone decide about the room."""
+    recent = ranks.RecentCalls()
+    for rank in (0, 4, 8):
+        recent.record(rank, 0.0)
+    targets = [
+        ranks.compute_target(12, rank, recent.list_shares()) for rank in (0, 4, 8)
+    ]
+    assertions.assert_that(targets, matchers.Equals([16, 13, 7]))
+
+
+def test_few_slots_have_few_urgent_calls_queued_behind_them():
+    """Four calls behind the one slot of a server are late before they run."""
+    target = ranks.compute_target(1, ranks.FIRST, [0.5, 0.5])
+    assertions.assert_that(target, matchers.LessThan(3))
+
+
 def test_a_group_that_is_never_served_is_behind_until_it_is():
     """Urgent calls alone may fill all slots for as long as they come."""
     memory = floors.Floors()
@@ -199,5 +229,42 @@
         room.record_granted(stand.make_call(), 'engines')
         room.record_refused(starved, 'engines', 'rank')
     assertions.assert_that(
-        room.find_urgency(starved, 'engines'), matchers.Equals(ranks.Urgency.FIRST)
+        room.find_rank(starved, 'engines'), matchers.Equals(ranks.FIRST)
+    )
+
+
+def test_a_high_workspace_goes_before_the_most_urgent_route_of_a_low_one(engines):
+    """The platform lets a workspace's rank take precedence over a route's."""
+    room, set_load = engines
+    set_load(12)
+    paid = dataclasses.replace(stand.ROUTE, rank=2)
+    high = stand.make_call(
+        route=paid, rank=routes.compute_rank(paid, routes.Workspace('w1', 0))
+    )
+    low = stand.make_call(
+        rank=routes.compute_rank(stand.ROUTE, routes.Workspace('w2', 2))
+    )
+    for call in (high, low):
+        room.record_arrival(call, 'engines')
+    assertions.assert_that(
+        room.find_rank(high, 'engines'),
+        matchers.LessThan(room.find_rank(low, 'engines')),
+    )
+    limits = [
+        [room.limit_own_calls(call, set_load(10)) for _ in range(40)]
+        for call in (high, low)
+    ]
+    assertions.assert_that(sum(limits[0]), matchers.GreaterThan(5))
+    assertions.assert_that(sum(limits[1]), matchers.Equals(0))
+
+
+def test_late_retries_go_behind_calls_of_the_last_rank(engines):
+    """A late answer takes the turn of a call that can be in time."""
+    room, set_load = engines
+    set_load(12)
+    last = stand.make_call(rank=routes.RANK_COUNT - 1)
+    retry = stand.make_call(rank=0, spent_s=2.0)
+    assertions.assert_that(
+        room.find_rank(retry, 'engines'),
+        matchers.GreaterThan(room.find_rank(last, 'engines')),
     )
