--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -17,9 +17,10 @@
 SUSPECT_FIRST_S = 0.25
 SUSPECT_CEILING_S = 2.0
 FAILURE_WEIGHT = 0.15  # weight of the newest outcome in the moving failure share
-# The failure share halves in this time without an outcome, so that a server which gets
-# no calls because of it is tried again: four seconds after one failure, and within two
-# minutes after many.
+# The failure share holds for this long after an outcome, as servers that fail a part of
+# their calls do so for tens of seconds, and then halves in each half-life, so that a
+# server which gets no calls because of it is tried again.
+FAILURE_HOLD_S = 60.0
 FAILURE_HALF_LIFE_S = 20.0
 # A server is ejected when its failure share exceeds its service's median by this much.
 EJECT_SHARE = 0.35
@@ -97,7 +98,8 @@
         """Return the moving share of attempts that failed, which fades with time."""
         if not self.failure_share_before:
             return 0.0
-        half_lives = (self.clock() - self.last_outcome_at) / FAILURE_HALF_LIFE_S
+        fading_s = max(0.0, self.clock() - self.last_outcome_at - FAILURE_HOLD_S)
+        half_lives = fading_s / FAILURE_HALF_LIFE_S
         return self.failure_share_before * 0.5**half_lives
 
     def get_fresh_report(self, now: float) -> Report | None:
