Restrictions: tests of services, of servers being filled and of calls that wait

Cause: four changes of the sources, made to see which tests notice, were not noticed. Change: a test each; the one of the queue ends after 5 s instead of waiting for ever.

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -100,6 +100,26 @@
     in_fleet(check, server)
 
 
+def test_waiting_call_is_refused_at_once(in_fleet):
+    """It waited for a slot of an evacuated server until it was too late elsewhere."""
+    server = stand.Server('near', stand.hang)
+
+    async def check(fleet):
+        async with asyncio.TaskGroup() as group:
+            running = [group.create_task(fleet.call('/book/1')) for _ in range(4)]
+            await fleet.until(lambda: len(server.seen) == 4)
+            waiting = asyncio.create_task(fleet.call('/book/1'))
+            await fleet.until(lambda: fleet.entry._admission.count_waiting() == 1)
+            fleet.store.put(EVACUATE, {})
+            refused = await waiting
+            for task in running:
+                task.cancel()
+        assert 'excluded: evacuated' in json.loads(refused.body)['reason']
+        _assert_equal((refused.status, len(server.seen)), (503, 4))
+
+    in_fleet(check, server)
+
+
 def test_retry_and_further_attempt_stay_out_of_an_evacuated_data_centre(in_fleet):
     """A stream falls silent elsewhere, or its server fails, after the evacuation."""
     near = stand.Server('near', stand.stream(2))
--- a/tests/test_restrictions.py
+++ b/tests/test_restrictions.py
@@ -1,6 +1,7 @@
 """Homes and evacuations: where calls and callers may go, without a network."""
 
 import asyncio
+import dataclasses
 import functools
 import json
 import random
@@ -11,9 +12,9 @@
 
 import enginestand as stand
 import platformstand
-from primrosesaddle.calls import admission, backends, placement, routes
+from primrosesaddle.calls import admission, backends, placement, routes, targets
 from primrosesaddle.core import verdict
-from primrosesaddle.fleet import fleetview
+from primrosesaddle.fleet import fleetview, servers
 from primrosesaddle.platform import records
 from primrosesaddle.restrictions import evacuations, homes
 
@@ -246,4 +247,33 @@
             assert 'evacuated=d1:1' in refused.value.reason
         _assert_equal(queue.excluded_count, 2)
 
-    asyncio.run(check())
+    asyncio.run(asyncio.wait_for(check(), 5.0))
+
+
+def test_weights_of_services_count_where_the_call_may_go(known_backends):
+    """A route with two targets drew one that has no server in the call's homes."""
+    conf = routes.make_configuration(
+        1, [], [stand.SERVICE, routes.Service('other', 8)], None, None
+    )
+    far = servers.BackendServer('f', 'other', 'f:1', 'd2', 4, False, {})
+    records = [each.record for each in known_backends.list_servers(stand.SERVICE.name)]
+    known_backends.update_records([*records, far])
+    route = dataclasses.replace(stand.ROUTE, targets=(('engines', 1.0), ('other', 99)))
+    for may_serve, expected in (
+        (lambda backend: backend.record.data_centre == 'd1', 'engines'),
+        (lambda backend: False, 'other'),
+    ):
+        chosen = targets.select_service(
+            route, conf, known_backends, random.Random(1), may_serve
+        )
+        _assert_equal(chosen.name, expected)
+
+
+def test_server_that_is_being_filled_elsewhere_promises_nothing(placer, known_backends):
+    """A call was told to come back when a server is ready to which it may not go."""
+    stand.add_servers(known_backends, a=('d1', (0, 0, 0)), b=('d2', (0, 0, 0)))
+    for name, ready_in_s in (('a', 5.0), ('b', 1.0)):
+        report = backends.Report(0.0, 0, 0, {}, False, ready_in_s=ready_in_s)
+        known_backends.update_report(f'{name}:1', report)
+    call = stand.make_call(homes=frozenset(('r2',)))
+    _assert_equal(placer.estimate_ready_s(call, stand.SERVICE, 0), 1.0)
