Admission: a fault while a slot is granted loses no call that waits

Cause: the loop that passes over calls whose homes are full took them out of the queue first, so that an exception from placement would have left their callers without answer. Change: they leave the queue only once granted or passed over, and are put back whatever happens.

--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -294,15 +294,19 @@
         Homes without a free slot are added to `full_homes`; None stands for all.
         """
         passed_over: collections.deque[_Waiter] = collections.deque()
-        while waiting and None not in full_homes:
-            waiter = waiting.popleft()
-            if waiter.fut.done():
-                continue
-            homes = waiter.call.homes
-            if homes in full_homes or not self._grant_slot(queue, waiter):
-                full_homes.add(homes)
-                passed_over.append(waiter)
-        waiting.extendleft(reversed(passed_over))
+        try:
+            while waiting and None not in full_homes:
+                waiter = waiting[0]
+                homes = waiter.call.homes
+                if waiter.fut.done():
+                    waiting.popleft()
+                elif homes in full_homes or not self._grant_slot(queue, waiter):
+                    full_homes.add(homes)
+                    passed_over.append(waiting.popleft())
+                else:
+                    waiting.popleft()
+        finally:
+            waiting.extendleft(reversed(passed_over))
 
     def _grant_slot(self, queue: _Queue, waiter: _Waiter) -> bool:
         """Grant a slot to a call that waits, and return whether there was one."""
