Cold starts: after a pause, servers may have become cold

Cause: a process that was frozen goes on with the servers as it knew them, and sends the calls that it holds before it has read the store again.

Placement asks no server for its room when no limit applies to any.

Result: test_after_a_pause_servers_may_have_become_cold is new; tests of calls, platform calls and filling pass.

--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -198,6 +198,12 @@
 
         Returns None unless limits on room keep a call from all servers that can run it.
         """
+        if not any(
+            wait(call, backend)
+            for backend in self._backends.list_servers(service.name)
+            for wait in self._constraints.room_waits
+        ):
+            return None
         waits_s = [
             max(
                 (wait(call, backend) for wait in self._constraints.room_waits),
--- a/src/primrosesaddle/process/coldstarts.py
+++ b/src/primrosesaddle/process/coldstarts.py
@@ -127,9 +127,13 @@
             await asyncio.sleep(UPDATE_INTERVAL_S)
 
     def _explain(self, call: request.Call, backend: backends.Backend) -> str:
+        if backend.record.service not in self._shares.limits:
+            return ''
         return self._shares.explain(_make_target(backend))
 
     def _estimate_wait_s(self, call: request.Call, backend: backends.Backend) -> float:
+        if backend.record.service not in self._shares.limits:
+            return 0.0
         return self._shares.estimate_wait_s(_make_target(backend))
 
     def _list_published(self) -> Iterator[tuple[coldstart.Incarnation, float, float]]:
--- a/src/primrosesaddle/restrictions/coldshares.py
+++ b/src/primrosesaddle/restrictions/coldshares.py
@@ -14,6 +14,12 @@
 __all__ = ('ColdShares', 'Target')
 
 
+# A process that was paused for longer does not know which servers have become cold,
+# until it has read the store again. Sweeps are 0.5 s apart.
+MAX_PAUSE_S = 1.5
+REFRESH_S = 1.0  # of the view after a pause
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """One start of a server, and where it is."""
@@ -51,6 +57,8 @@
         self._is_informed = is_informed
         self._clock = clock
         self._settled_at = clock() + settle_s
+        self._swept_at = clock()
+        self._refreshed_at = clock()
         self._ranks: dict[str, coldstart.Ranks] = {}
         self._ranked_revision = -1
         self._logs: dict[str, coldstart.SendLog] = collections.defaultdict(
@@ -112,9 +120,15 @@
             log.release(call_id)
 
     def sweep(self) -> None:
-        """Forget what no longer counts; call it every second or so."""
+        """Forget what no longer counts; call it every 0.5 s.
+
+        A gap between calls is taken for a pause of the process.
+        """
         self._entries.forget_silent()
         now = self._clock()
+        if now - self._swept_at > MAX_PAUSE_S:
+            self._refreshed_at = now + REFRESH_S
+        self._swept_at = now
         period_s = max((limit.period_s for limit in self.limits.values()), default=0.0)
         for server_id, log in list(self._logs.items()):
             log.forget_old(now, period_s)
@@ -129,7 +143,14 @@
         factor = self.servers.get_factor(target.incarnation)
         if factor is not None:
             return limits.grow(factor)
-        return None if self._is_informed(target.incarnation) else limits
+        return None if self._is_known_warm(target) else limits
+
+    def _is_known_warm(self, target: Target) -> bool:
+        """Return whether this entry would know by now that a server became cold."""
+        now = self._clock()
+        if now - self._swept_at > MAX_PAUSE_S or now < self._refreshed_at:
+            return False
+        return self._is_informed(target.incarnation)
 
     def _rank(self, target: Target) -> coldstart.Ranks:
         """Return the ranks of this entry's positions for a server."""
