Memory at engines: calls in flight are kept under what the configuration states

Cause: slots alone decided whether an engine takes a call. Engines whose memory is full give up their newest streams in the middle and read prompts again.

Slow readers are not begun.

--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -30,7 +30,7 @@
     to the layers that are loaded. `switching` is set while the server loads other
     weights and does not serve. `pace` is over 1 for a server that is slower than its
     profile. `ready_in_s` is in how many seconds an empty server will hold layers, 0
-    when that is not known.
+    when that is not known. `memory_share` is the part of its memory that calls hold.
     """
 
     received_at: float
@@ -42,6 +42,7 @@
     reachable: bool = True
     start_time_ms: int = 0
     ready_in_s: float = 0
+    memory_share: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/primrosesaddle/calls/routes.py
+++ b/src/primrosesaddle/calls/routes.py
@@ -69,7 +69,8 @@
     A step takes `step_s` and `step_per_request_s` for each request that runs, and
     every `steps_per_event` steps a stream has an event. `usual_prompt_tokens` and
     `usual_answer_tokens` describe the usual request. A copy of the weights consists
-    of `piece_count` pieces of `piece_bytes`; an engine loads it in `load_s`.
+    of `piece_count` pieces of `piece_bytes`; an engine loads it in `load_s`. Requests
+    hold `memory_tokens` at most, 0 if that is not stated.
     """
 
     slots: int
@@ -84,6 +85,7 @@
     piece_count: int
     piece_bytes: int
     load_s: float
+    memory_tokens: int = 0
 
     @property
     def event_s(self) -> float:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -255,7 +255,8 @@
 
     `ready_in_s` is the time until an empty server is expected to hold layers, 0 if not
     known. `leaving` is whether the server says that it is leaving, `cold_remaining_s`
-    for how many more seconds it says that it is cold.
+    for how many more seconds it says that it is cold, `memory_share` which part of its
+    memory requests hold.
     """
 
     address: str
@@ -269,6 +270,7 @@
     ready_in_s: float = 0
     leaving: bool = False
     cold_remaining_s: float = 0
+    memory_share: float = 0
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
--- a/src/primrosesaddle/platform/engine.py
+++ b/src/primrosesaddle/platform/engine.py
@@ -25,6 +25,9 @@
     # Above 1 when the engine is slower than its profile.
     pace: float = 1.0
     born: records.Count = 0
+    # Memory of requests that cannot be given up, and all of it, in the same unit.
+    kv_used: float = 0
+    kv_total: float = 0
 
 
 _REPORT = msgspec.json.Decoder(_Report)
@@ -53,6 +56,7 @@
             report.pace,
             report.born,
             wire.is_leaving(answer.headers),
+            report.kv_used / report.kv_total if report.kv_total > 0 else 0.0,
         )
 
     async def read_cold_s(self) -> float:
--- a/src/primrosesaddle/platform/records.py
+++ b/src/primrosesaddle/platform/records.py
@@ -70,6 +70,8 @@
     layers: int = 0
     chunks: int = 0
     chunk_bytes: int = msgspec.field(name='chunkBytes', default=0)
+    # Tokens that fit in the memory beside the weights.
+    kv_capacity: int = msgspec.field(name='kvCapacity', default=0)
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -278,6 +280,7 @@
             engine.chunks,
             engine.chunk_bytes,
             max((model.warm_s for model in engine.models), default=0),
+            engine.kv_capacity,
         )
     return routes.Service(
         item.name,
--- a/src/primrosesaddle/process/coldstarts.py
+++ b/src/primrosesaddle/process/coldstarts.py
@@ -35,10 +35,10 @@
         self._metrics = entry_metrics
         self._adopted: dict[str, servers.BackendServer] = {}
 
-    def make_constraints(self) -> placement.Constraints:
-        """Return the rules for placement."""
+    def make_constraints(self, *room: placement.Constraint) -> placement.Constraints:
+        """Return these rules for placement, and others about room."""
         return placement.Constraints(
-            room=(self._explain,), room_waits=(self._estimate_wait_s,)
+            room=(self._explain, *room), room_waits=(self._estimate_wait_s,)
         )
 
     def update_from_view(self) -> None:
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -30,6 +30,7 @@
     goals,
     listeners,
 )
+from primrosesaddle.restrictions import memoryroom
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -305,13 +306,21 @@
             self._rand,
             self._clock,
             self._estimate_part_load_s,
-            self.cold_starts.make_constraints(),
+            self.cold_starts.make_constraints(
+                memoryroom.make_rule(
+                    self._find_service, self.mesh.count_entries, self._clock
+                )
+            ),
         )
         admitted = admission.Admission(placer, self._required_version, self._clock)
         admitted.grant_listeners.append(self.cold_starts.grant)
         admitted.release_listeners.append(self.cold_starts.release)
         return admitted
 
+    def _find_service(self, name: str) -> routes.Service | None:
+        conf = self._view.configuration
+        return None if conf is None else conf.services.get(name)
+
     def _is_store_reached(self) -> bool:
         """Return whether the store answers this entry, or others that it hears."""
         return self._reader.is_store_reachable or self.feed.is_store_reached_by_others()
@@ -390,6 +399,7 @@
             body.reachable,
             body.start_time_ms,
             body.ready_in_s,
+            body.memory_share,
         )
         self.backends.update_report(body.address, report)
         self.cold_starts.update_from_agent(body)
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -44,7 +44,8 @@
 
     `models` maps a model to the layers that are loaded. `busy` is whether the engine
     carries out an order. `pace` is over 1 when it is slower than its profile. `leaving`
-    is whether it says that it is leaving.
+    is whether it says that it is leaving, `memory_share` the part of its memory that
+    requests hold.
     """
 
     models: dict[str, layers.Span]
@@ -54,6 +55,7 @@
     pace: float
     start_time_ms: int
     leaving: bool = False
+    memory_share: float = 0.0
 
 
 class Engine(area.StagingStore, typing.Protocol):
@@ -351,6 +353,7 @@
                 round(self._estimate_ready_s(state), 2),
                 state.leaving,
                 round(max(0.0, self._cold_until - self._clock()), 2),
+                round(state.memory_share, 3),
             )
         now = self._clock()
         if self._last_report is not None and _without_load(report) == _without_load(
@@ -381,6 +384,7 @@
         pace=1.0,
         ready_in_s=0.0,
         cold_remaining_s=float(report.cold_remaining_s > 0),
+        memory_share=0.0,
     )
 
 
