--- a/src/primrosesaddle/restrictions/memoryroom.py
+++ b/src/primrosesaddle/restrictions/memoryroom.py
@@ -48,7 +48,7 @@
 
 
 def _count_tokens(calls: Iterable[request.Call]) -> float:
-    """Return the tokens that calls hold at most, of their prompts and answers."""
+    """Return the tokens of the prompts of calls and of their expected answers."""
     return float(
         sum(call.cost.prompt_tokens + call.cost.answer_tokens for call in calls)
     )
