--- a/src/primrosesaddle/process/coldstarts.py
+++ b/src/primrosesaddle/process/coldstarts.py
@@ -35,10 +35,10 @@
         self._metrics = entry_metrics
         self._adopted: dict[str, servers.BackendServer] = {}
 
-    def make_constraints(self) -> placement.Constraints:
-        """Return the rules for placement."""
+    def make_constraints(self, *room: placement.Constraint) -> placement.Constraints:
+        """Return these rules for placement, and others about room."""
         return placement.Constraints(
-            room=(self._explain,), room_waits=(self._estimate_wait_s,)
+            room=(self._explain, *room), room_waits=(self._estimate_wait_s,)
         )
 
     def update_from_view(self) -> None:
@@ -127,9 +127,13 @@
             await asyncio.sleep(UPDATE_INTERVAL_S)
 
     def _explain(self, call: request.Call, backend: backends.Backend) -> str:
+        if backend.record.service not in self._shares.limits:
+            return ''
         return self._shares.explain(_make_target(backend))
 
     def _estimate_wait_s(self, call: request.Call, backend: backends.Backend) -> float:
+        if backend.record.service not in self._shares.limits:
+            return 0.0
         return self._shares.estimate_wait_s(_make_target(backend))
 
     def _list_published(self) -> Iterator[tuple[coldstart.Incarnation, float, float]]:
