Room: each entry gives up its part of the calls above a server's target

Cause: an entry gave up its share of the fleet at each server, whichever calls it had there, so that entries without calls there gave up nothing and the others too little: a server that was over the target of the least urgent calls stayed so. The simulation's workspaces have two ranks now, which go before the routes' at the engines.

--- a/bench/overloadworld.py
+++ b/bench/overloadworld.py
@@ -27,6 +27,7 @@
     SLOTS, 0.00887, 0.000039, 5, 19100.0, 952, 98, (MODEL,), 8, 8, 1, 0
 )
 SERVICE = routes.Service('engines', 500, PROFILE)
+WORKSPACES = (routes.Workspace('w0', 0), routes.Workspace('w1', 1))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,7 +157,6 @@
         self._make_entry = make_entry
         self._slow_share = slow_share
         self.windows = collections.defaultdict(Load)
-        self.workspaces = collections.defaultdict(Load)
         self.used = []
         self.turned_away = 0
 
@@ -278,8 +278,8 @@
                 headers=(),
                 body=b'',
                 route=route,
-                workspace=f'w{self._rand.randrange(24)}',
-                rank=routes.compute_rank(route, None),
+                workspace='',
+                rank=routes.compute_rank(route, self._rand.choice(WORKSPACES)),
                 arrived_at=self._clock(),
                 deadline_at=first_at + 6.0,
                 configuration=1,
--- a/src/primrosesaddle/overload/shares.py
+++ b/src/primrosesaddle/overload/shares.py
@@ -59,11 +59,12 @@
 ) -> int:
     """Return how many calls an entry may have at a server until its next report.
 
-    `target` is the number of calls of all entries that the server should have. Calls
-    above it are given up in proportion to `share`, those below it taken up. `draw`, in
-    [0, 1), rounds the result.
+    `target` is the number of calls of all entries that the server should have. Of what
+    is missing, `share` is taken up; of what is above it, each entry gives up its part of
+    the calls there. `draw`, in [0, 1), rounds the result.
     """
     free = target - load.total
     if free >= 0:
         return load.own + int(share * free * FREE_GAIN + draw)
-    return max(0, load.own - int(-free * share + draw))
+    given_up = -free * load.own / load.total
+    return max(0, load.own - int(given_up + draw))
