--- a/src/primrosesaddle/overload/shares.py
+++ b/src/primrosesaddle/overload/shares.py
@@ -60,8 +60,8 @@
     """Return how many calls an entry may have at a server until its next report.
 
     `target` is the number of calls of all entries that the server should have. Of what
-    is missing, `share` is taken up; of what is above it, each entry gives up its part of
-    the calls there. `draw`, in [0, 1), rounds the result.
+    is missing, `share` is taken up; of what is above it, each entry gives up its part.
+    `draw`, in [0, 1), rounds the result.
     """
     free = target - load.total
     if free >= 0:
