--- a/bench/overloadworld.py
+++ b/bench/overloadworld.py
@@ -164,7 +164,6 @@
         self._make_entry = make_entry
         self._slow_share = slow_share
         self.windows = collections.defaultdict(Load)
-        self.workspaces = collections.defaultdict(Load)
         self.used = []
         self.turned_away = 0
 
