--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -23,6 +23,8 @@
         'evacuation.in_force',
         'evacuation.requested',
         'evacuation.ended',
+        'room.contended',
+        'room.free',
     )
 )
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -184,12 +184,15 @@
         servers.BackendServer(name, 'engines', f'{name}:1', 'd1', 12, False, models)
         for name in ('a', 'b')
     )
-    room = control.Control(known, lambda: 16, random.Random(1), lambda: now[0])
+    room = control.Control(
+        known, lambda: 16, random.Random(1), lambda: now[0], lambda model: 1
+    )
 
-    def set_load(active, age_s=0.0):
+    def set_load(active, age_s=0.0, loading=()):
         now[0] += 1.0
         for name in ('a', 'b'):
-            report = backends.Report(now[0] - age_s, active, 0, models, False)
+            active_there, held = (0, {}) if name in loading else (active, models)
+            report = backends.Report(now[0] - age_s, active_there, 0, held, False)
             known.update_report(f'{name}:1', report)
         return known.get_by_id('a')
 
@@ -203,14 +206,33 @@
     assertions.assert_that(limit, matchers.Is(None))
 
 
+def test_servers_that_hold_no_allowed_version_are_no_room(engines):
+    """While most servers load a new version, the others are full at a small use."""
+    room, set_load = engines
+    set_load(12, loading=('b',))
+    assertions.assert_that(room.get_use('engines'), matchers.Equals(1.0))
+
+
 def test_an_entry_without_fresh_reports_decides_by_its_own_counts(engines):
     """An entry that is cut off would keep the limit of the last report for ever."""
     room, set_load = engines
-    backend = set_load(12, age_s=backends.REPORT_STALE_S + 0.1)
+    backend = set_load(12, age_s=backends.LOAD_STALE_S + 0.1)
     limit = room.limit_own_calls(stand.make_call(), backend)
     assertions.assert_that(limit, matchers.Is(None))
 
 
+def test_loads_in_answers_stand_for_missing_reports(engines):
+    """After a restart of all processes, agents are not linked for some seconds."""
+    room, set_load = engines
+    backend = set_load(0, age_s=backends.REPORT_STALE_S + 0.1)
+    backend.update_load(20, backend.report.received_at + 0.9)
+    call = stand.make_call()
+    backend.add_call(call)
+    assertions.assert_that(
+        room.limit_own_calls(call, backend), matchers.LessThan(12 / 4)
+    )
+
+
 def test_a_late_retry_takes_no_slot_that_a_call_in_time_needs(engines):
     """A late answer takes the room of one that would be in time."""
     room, set_load = engines
@@ -242,7 +264,7 @@
         route=paid, rank=routes.compute_rank(paid, routes.Workspace('w1', 0))
     )
     low = stand.make_call(
-        rank=routes.compute_rank(stand.ROUTE, routes.Workspace('w2', 2))
+        rank=routes.compute_rank(stand.ROUTE, routes.Workspace('w2', 1))
     )
     for call in (high, low):
         room.record_arrival(call, 'engines')
