Clients: one budget for bodies, limits on connections, refusals by head

Cause: bodies were kept whole, as parts and joined, before intake looked at a request, and copied again on the way to a server; the limits of the configuration were not used; nothing bounded all bodies together or the connections of a listener. The HTTP server also never told the application that a connection was closed, so that the last request of each closed connection was kept for good.

Change: - net/bodies.py: one budget for all bodies, a share kept for small ones. When it is short, the body without progress for longest goes first, after 0.5 s; else the one that asks is refused (503, not run). - A request with a body over 64 KiB is decided by its head: 404, 401, 413, 503. A body that comes later than the call's time limit gets 408; a head over maxHeaderBytes 431. The rest of a refused body is read and dropped for 5 s or 4 MiB (net/discarding.py). - One copy of a body, written to the server in parts as that one reads. - net/connections.py: each listener has a bound from maxFds and memoryMb; the connection idle for longest goes first, a head has headerTimeoutMs from its first byte. With all connections busy, the next client waits in the kernel's queue, and connections are closed after their answers. - maxHeaderBytes, maxBodyBytes, headerTimeoutMs and idleTimeoutMs are in force as published, on open connections too. - process/capacity.py divides memoryMb and maxFds; buffered answers get less on small machines (64 MiB as before from 358 MB on).

--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -42,6 +42,7 @@
 
     `min_version_to_send` returns the lowest version of a model to which a call is
     sent, `min_version_to_begin` the lowest on which a sent call may still begin.
+    `answer_bytes` is what buffered answers may use together.
     """
 
     view: fleetview.View
@@ -56,6 +57,7 @@
     min_version_to_send: Callable[[str], int]
     min_version_to_begin: Callable[[str], int]
     crash_watch: crashwatch.CrashWatch
+    answer_bytes: int = attempts.MAX_TOTAL_BUFFERED_BYTES
 
 
 class Forwarder:
@@ -71,7 +73,7 @@
             deps.crash_watch.get_block,
             self._clock,
         )
-        self._memory_budget = memory.MemoryBudget(attempts.MAX_TOTAL_BUFFERED_BYTES)
+        self._memory_budget = memory.MemoryBudget(deps.answer_bytes)
         self.in_flight = 0
 
     async def serve(self, call: request.Call, sink: attempts.AnswerSink) -> None:
--- a/src/primrosesaddle/calls/intake.py
+++ b/src/primrosesaddle/calls/intake.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import dataclasses
+import math
+from collections.abc import Callable
 
 from primrosesaddle.calls import attempts, draining, forwarding, request, routes
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.telemetry import journal
 
-__all__ = ('IncomingRequest', 'RequestIntake')
+__all__ = ('Allowance', 'IncomingRequest', 'RequestIntake', 'refuse_size')
 
 NOT_READY_RETRY_S = 1.0  # a new process has a configuration within a second
 # A caller that states a time limit shorter than the longest by more than this share
@@ -21,6 +23,7 @@
 STATUS_UNKNOWN_KEY = 401
 STATUS_UNKNOWN_ROUTE = 404
 STATUS_MALFORMED = 400
+STATUS_TOO_LARGE = 413
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +43,7 @@
     host: str
     key: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     arrived_at: float
     deadline_s: float | None
     model: str = ''
@@ -50,6 +53,18 @@
     parts: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allowance:
+    """What a caller may send after the head of a request.
+
+    The body may have `body_bytes`, and has to be complete at `deadline_at`, in seconds
+    of the event loop's clock: later the call could not be served in any case.
+    """
+
+    body_bytes: int
+    deadline_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _StatedLimits:
     """The time limits that callers of a route have stated."""
@@ -74,6 +89,7 @@
         self._view = published
         self._forwarder = forwarder
         self._stated_limits: dict[str, _StatedLimits] = {}
+        self.on_refused: Callable[[verdict.Refusal], None] = lambda refusal: None
         self._drain = drain or draining.Drain(asyncio.get_running_loop().time)
 
     @property
@@ -91,17 +107,42 @@
         try:
             call = self._admit(incoming)
         except verdict.Refusal as exc:
-            journal.info(
-                'call.refused',
-                id=incoming.call_id,
-                status=exc.status,
-                reason=exc.reason,
-                configuration=self._configuration_version,
-            )
+            self.log_refusal(incoming.call_id, exc)
             sink.refuse(exc)
             return
         await self._forwarder.serve(call, sink)
 
+    @property
+    def max_header_bytes(self) -> float:
+        """The limit of the configuration in force for the headers of a request."""
+        conf = self._view.configuration
+        return math.inf if conf is None else conf.limits.header_bytes
+
+    def check_head(self, incoming: IncomingRequest) -> Allowance:
+        """Return what may follow the head of a request; its body is not read yet.
+
+        Raises `verdict.Refusal`, which is logged, if the head tells that the request is
+        refused.
+        """
+        try:
+            conf, route, _ = self._find_route(incoming)
+        except verdict.Refusal as exc:
+            self.log_refusal(incoming.call_id, exc)
+            raise
+        limit_s = _compute_limit_s(incoming, route)
+        return Allowance(conf.limits.body_bytes, incoming.arrived_at + limit_s)
+
+    def log_refusal(self, call_id: str, refusal: verdict.Refusal) -> None:
+        """Log that a request was refused before it became a call."""
+        journal.info(
+            'call.refused',
+            id=call_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            configuration=self._configuration_version,
+        )
+        self.on_refused(refusal)
+
     @property
     def _configuration_version(self) -> int:
         conf = self._view.configuration
@@ -109,6 +150,21 @@
 
     def _admit(self, incoming: IncomingRequest) -> request.Call:
         """Return the call of a request; raise `verdict.Refusal` if it is refused."""
+        conf, route, workspace = self._find_route(incoming)
+        if len(incoming.body) > conf.limits.body_bytes:
+            raise refuse_size(len(incoming.body), conf.limits.body_bytes)
+        call = _make_call(incoming, conf, route, workspace)
+        self._drain.check_admitted(call)
+        call.spent_s = self._spent_s(route, incoming.deadline_s)
+        return call
+
+    def _find_route(
+        self, incoming: IncomingRequest
+    ) -> tuple[routes.Configuration, routes.Route, routes.Workspace | None]:
+        """Return the configuration in force, and a request's route and workspace.
+
+        Raises `verdict.Refusal` if the request is refused.
+        """
         conf = self._view.configuration
         if conf is None:
             raise verdict.not_run('no_configuration', 503, NOT_READY_RETRY_S)
@@ -119,11 +175,7 @@
             raise verdict.not_run(f'no_route: {host}{path}', STATUS_UNKNOWN_ROUTE)
         if not incoming.call_id:
             raise verdict.not_run('no_request_id', STATUS_MALFORMED)
-        workspace = self._find_workspace(conf, route, incoming.key)
-        call = _make_call(incoming, conf, route, workspace)
-        self._drain.check_admitted(call)
-        call.spent_s = self._spent_s(route, incoming.deadline_s)
-        return call
+        return conf, route, self._find_workspace(conf, route, incoming.key)
 
     def _spent_s(self, route: routes.Route, deadline_s: float | None) -> float:
         """Return the seconds that a caller spent before this attempt.
@@ -159,15 +211,26 @@
         return workspace
 
 
+def refuse_size(size_bytes: int, limit_bytes: int) -> verdict.Refusal:
+    """Return the refusal of a request whose body is larger than the limit."""
+    reason = f'body_too_large: {size_bytes} limit={limit_bytes}'
+    return verdict.not_run(reason, STATUS_TOO_LARGE)
+
+
+def _compute_limit_s(incoming: IncomingRequest, route: routes.Route) -> float:
+    """Return the time limit of a request in seconds."""
+    if incoming.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, incoming.deadline_s)
+
+
 def _make_call(
     incoming: IncomingRequest,
     conf: routes.Configuration,
     route: routes.Route,
     workspace: routes.Workspace | None,
 ) -> request.Call:
-    limit_s = route.timeout_s
-    if incoming.deadline_s is not None:
-        limit_s = min(limit_s, incoming.deadline_s)
+    limit_s = _compute_limit_s(incoming, route)
     return request.Call(
         call_id=incoming.call_id,
         method=incoming.method,
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -42,7 +42,7 @@
     method: str
     target: str
     headers: Pairs
-    body: bytes
+    body: bytes | bytearray
     route: routes.Route
     workspace: str
     rank: int
--- a/src/primrosesaddle/fleet/node.py
+++ b/src/primrosesaddle/fleet/node.py
@@ -42,7 +42,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Node:
-    """Identity and settings of one process; `regions` maps data centres to regions."""
+    """Identity and settings of one process; `regions` maps data centres to regions.
+
+    `memory_bytes` and `descriptors` are the limits of its machine, 0 if not stated.
+    """
 
     name: str
     role: str
@@ -57,3 +60,5 @@
     service: str
     link_bytes_per_s: float
     bounds: Bounds
+    memory_bytes: float = 0.0
+    descriptors: int = 0
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -29,6 +29,8 @@
 USER_TIMEOUT_MS = 3000  # a connection with bytes unacknowledged for longer is closed
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Of a request at once, and so copied for each connection; the usual ones are smaller.
+MAX_WRITTEN_BYTES = 64 * 1024
 # Bytes of chunk framing for each byte of a body; a chunk of one byte has five.
 MAX_FRAMING_RATIO = 16
 MAX_STRAY_BYTES = 8 * 1024 * 1024  # of the bodies of late answers to earlier requests
@@ -83,6 +85,8 @@
         self._is_closed = False
         self._exchange: Exchange | None = None
         self._transport: asyncio.Transport | None = None
+        self._unsent = memoryview(b'')
+        self._is_write_paused = False
 
     @property
     def is_reusable(self) -> bool:
@@ -101,17 +105,30 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def start_exchange(self, exchange: 'Exchange', request: bytes) -> None:
-        """Send a request; what is received from now on goes to its exchange."""
+    def start_exchange(
+        self, exchange: 'Exchange', head: bytes, body: bytes | bytearray = b''
+    ) -> None:
+        """Send a request; what is received from now on goes to its exchange.
+
+        A large body is not copied: parts of it are written as the server reads them.
+        """
         self._exchange = exchange
         self.sent_count += 1
         if self._is_closed or self._transport is None:
             exchange.end_with_connection(self.error)
         else:
-            self._transport.write(request)
+            self._transport.write(head + body[:MAX_WRITTEN_BYTES])
+            self._unsent = memoryview(body)[MAX_WRITTEN_BYTES:]
+            self._send_rest()
 
     def end_exchange(self) -> None:
-        """Receive nothing more for the exchange; further data makes this unusable."""
+        """Receive nothing more for the exchange; further data makes this unusable.
+
+        So does an answer before the whole body was sent.
+        """
+        if self._unsent:
+            self.keep_alive = False
+            self._unsent = memoryview(b'')
         self._exchange = None
         self.resume_reading()
 
@@ -125,6 +142,15 @@
         if self._transport is not None and not self._is_closed:
             self._transport.resume_reading()
 
+    def pause_writing(self) -> None:
+        """Send no more for now; called by the event loop."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Send again; called by the event loop."""
+        self._is_write_paused = False
+        self._send_rest()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; called by the event loop."""
         self._transport = typing.cast(asyncio.Transport, transport)
@@ -139,10 +165,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; called by the event loop."""
         self._is_closed = True
+        self._unsent = memoryview(b'')
         self.error = exc
         if self._exchange is not None:
             self._exchange.end_with_connection(exc)
 
+    def _send_rest(self) -> None:
+        while self._unsent and not self._is_write_paused and self._transport:
+            part, self._unsent = (
+                self._unsent[:MAX_WRITTEN_BYTES],
+                self._unsent[MAX_WRITTEN_BYTES:],
+            )
+            self._transport.write(part)
+
 
 class Head(typing.NamedTuple):
     """Status line and headers of an answer.
@@ -198,7 +233,7 @@
         self.ended_by_server = False
 
     def send_request(
-        self, method: str, target: str, headers: Pairs, body: bytes
+        self, method: str, target: str, headers: Pairs, body: bytes | bytearray
     ) -> None:
         """Send the complete request; add its length to the headers."""
         self._is_head_request = method == 'HEAD'
@@ -207,7 +242,7 @@
         if body or method not in _METHODS_WITHOUT_BODY:
             lines.append(f'Content-Length: {len(body)}')
         head = '\r\n'.join(lines).encode('latin1')
-        self._conn.start_exchange(self, head + b'\r\n\r\n' + body)
+        self._conn.start_exchange(self, head + b'\r\n\r\n', body)
 
     async def read_answer(self) -> Ending:
         """Wait for the end of the answer, and return whether it is complete.
--- a/src/primrosesaddle/platform/__main__.py
+++ b/src/primrosesaddle/platform/__main__.py
@@ -8,6 +8,7 @@
 from primrosesaddle.calls import intake
 from primrosesaddle.core import errors
 from primrosesaddle.fleet import node
+from primrosesaddle.net import bodies
 from primrosesaddle.platform import (
     engine,
     http_applications,
@@ -31,10 +32,10 @@
     """Builds the HTTP applications in the platform's formats."""
 
     def make_call_application(
-        self, request_intake: intake.RequestIntake
+        self, request_intake: intake.RequestIntake, budget: bodies.BodyBudget
     ) -> http_applications.CallApplication:
         """Return the application that passes callers' requests to an intake."""
-        return http_applications.CallApplication(request_intake)
+        return http_applications.CallApplication(request_intake, budget)
 
     def make_readiness_application(
         self, is_ready: http_applications.IsReady
--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import re
+import sys
 import typing
 from collections.abc import Awaitable, Callable
 
@@ -11,6 +12,7 @@
 
 from primrosesaddle.calls import attempts, intake, refusals
 from primrosesaddle.core import futures, verdict
+from primrosesaddle.net import bodies, connections, discarding
 from primrosesaddle.platform import names
 from primrosesaddle.process import adapter
 from primrosesaddle.telemetry import journal
@@ -19,7 +21,17 @@
 
 _MS = 1000.0
 _JSON = 'application/json'
+# A request with a larger body is decided by its head; other bodies are read first, so
+# that the connection of a refused caller can be used again.
+MAX_UNDECIDED_BYTES = bodies.SMALL_BODY_BYTES
+NO_ROOM_RETRY_S = 1.0  # a body that is being received is complete or dropped by then
+# A request whose body takes longer is decided by its head too, for its time limit.
+MAX_UNDECIDED_S = 1.0
+STATUS_TIMEOUT = 408  # promises that the request did not run
+STATUS_HEAD_TOO_LARGE = 431
 MAX_PARTS = 64  # parts of a prompt that are read; prompts have a handful
+_MAX_SIZE_DIGITS = 16  # of a Content-Length; far above any limit
+_SEPARATORS_BYTES = len(': \r\n')
 _PART_ID = re.compile('[0-9a-f]{1,64}')
 
 Answer = tuple[int, bytes]
@@ -30,10 +42,15 @@
 class CallApplication(adapter.CallApplication):
     """Passes callers' requests to a request intake."""
 
-    def __init__(self, request_intake: intake.RequestIntake) -> None:
-        """Create the application over an intake."""
+    def __init__(
+        self, request_intake: intake.RequestIntake, budget: bodies.BodyBudget
+    ) -> None:
+        """Create the application over an intake; `budget` is for requests' bodies."""
         self._request_intake = request_intake
+        self._budget = budget
+        self.is_short_of_connections = _has_room
         self._requests: dict[object, _CallRequest] = {}  # newest of each connection
+        self._discarder = discarding.Discarder(budget.clock)
 
     def start_request(
         self,
@@ -41,7 +58,13 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Return what takes one request, which may still have to be received."""
-        made = _CallRequest(self._request_intake, request_conn)
+        made = _CallRequest(
+            self._request_intake,
+            request_conn,
+            self._budget,
+            self._discarder,
+            lambda: self.is_short_of_connections(),
+        )
         self._requests[server_conn] = made
         return made
 
@@ -61,6 +84,22 @@
             if made.is_incomplete:
                 made.refuse(refusal)
 
+    def close_stalled(self) -> connections.Closable | None:
+        """Give up the oldest request that is refused, or whose body makes no progress.
+
+        Returns its connection, which the caller of this closes, None if there is none.
+        """
+        found = self._discarder.take_oldest()
+        if found is None and self._budget.drop_stalled():
+            # One that is dropped is refused, and so the only one of these.
+            found = self._discarder.take_oldest()
+        return found
+
+    def close_expired(self) -> None:
+        """Refuse the requests whose bodies come too late, and close refused ones."""
+        self._budget.expire()
+        self._discarder.close_expired()
+
     def count_unanswered(self) -> int:
         """Return the number of requests whose answer has not been sent whole."""
         return sum(
@@ -72,11 +111,24 @@
     """One request of a caller, and the sink of its answer."""
 
     def __init__(
-        self, request_intake: intake.RequestIntake, conn: httputil.HTTPConnection
+        self,
+        request_intake: intake.RequestIntake,
+        conn: httputil.HTTPConnection,
+        budget: bodies.BodyBudget,
+        discarder: discarding.Discarder,
+        is_short_of_connections: Callable[[], bool],
     ) -> None:
         self._request_intake = request_intake
         self._conn = typing.cast(typing.Any, conn)
-        self._body: list[bytes] = []
+        self._budget = budget
+        self._discarder = discarder
+        self._is_short_of_connections = is_short_of_connections
+        self._closes = False
+        self._holding: bodies.Holding | None = None
+        self._incoming: intake.IncomingRequest | None = None
+        self._body = bytearray()
+        self._max_body_bytes = MAX_UNDECIDED_BYTES
+        self._is_decided = False
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._arrived_at = 0.0
@@ -115,13 +167,57 @@
         self._headers = headers
         self._arrived_at = asyncio.get_running_loop().time()
         self._conn.stream.set_nodelay(True)
+        size = _parse_size(headers.get('Content-Length', ''))
+        has_body = size > 0 or 'Transfer-Encoding' in headers
+        if has_body:
+            self._prepare_body()
+        head_size = _count_header_bytes(headers)
+        if head_size > self._request_intake.max_header_bytes:
+            reason = f'head_too_large: {head_size}'
+            self._refuse_body(verdict.not_run(reason, STATUS_HEAD_TOO_LARGE))
+        elif has_body:
+            self._expect_body(size)
+
+    def _prepare_body(self) -> None:
+        # Sizes are checked here, where a refusal can tell its reason.
+        self._conn.set_max_body_size(sys.maxsize)
+        self._holding = self._budget.make_holding(self._on_dropped, self._on_expired)
+        self._holding.deadline_at = self._arrived_at + MAX_UNDECIDED_S
+        self._incoming = self._make_incoming_request()
+
+    def _expect_body(self, size: int) -> None:
+        """Make room for a body of an announced size, 0 if it is not announced."""
+        holding = typing.cast(bodies.Holding, self._holding)
+        if 'Expect' in self._headers or size > MAX_UNDECIDED_BYTES:
+            self._decide(size)
+        elif not holding.extend_to(size):
+            self._refuse_without_room()
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._body.append(chunk)
+        """Store a part of the body, unless the request is refused."""
+        if self._ended or self._holding is None:
+            self._discarder.receive(self._conn.stream, len(chunk))
+            return
+        size = len(self._body) + len(chunk)
+        if not self._is_decided and size > MAX_UNDECIDED_BYTES:
+            self._decide(size)
+        if not self._ended and size > self._max_body_bytes:
+            self._refuse_body(intake.refuse_size(size, self._max_body_bytes))
+        if not self._ended and not self._holding.receive(len(chunk)):
+            self._refuse_without_room()
+        if self._ended:
+            self._discarder.receive(self._conn.stream, len(chunk))
+        else:
+            self._body.extend(chunk)
 
     def finish(self) -> None:
         """Serve the request, which is now complete."""
+        if self._ended:
+            # It was refused before its end, and the caller told to close.
+            _close_when_sent(self._conn.stream)
+            return
+        if self._holding is not None:
+            self._holding.complete()
         self._conn.set_close_callback(self._on_connection_closed)
         self._task = asyncio.get_running_loop().create_task(self._serve())
         self._task.add_done_callback(self._answer_fault)
@@ -129,6 +225,8 @@
     def on_connection_close(self) -> None:
         """Drop a request whose connection was closed while it was read."""
         self._ended = True
+        self._release()
+        self._discarder.remove(self._conn.stream)
 
     def start(self, head: attempts.AnswerHead, size: int | None) -> None:
         """Send the head of an answer; `size` is the length of its body, if known."""
@@ -151,13 +249,16 @@
         """End a complete answer; close the connection if the process is leaving."""
         if self._ended:
             return
+        if self.is_incomplete and self._holding is not None:
+            self._start_discarding()
+            return
         self._ended = True
         stream = self._conn.stream
         try:
             self._conn.finish()
         except httputil.HTTPOutputError as exc:
             journal.warning('answer.length', error=str(exc))
-        if self._request_intake.leaving and stream is not None:
+        if (self._closes or self._request_intake.leaving) and stream is not None:
             _close_when_sent(stream)
 
     def abort(self) -> None:
@@ -181,7 +282,9 @@
         if refusal.retry_after_s:
             headers['Retry-After'] = f'{refusal.retry_after_s:.2f}'
         self._write_head(refusal.status, 'Refused', headers)
-        self.write(body)
+        line = typing.cast(httputil.RequestStartLine, self._start_line)
+        if line.method != 'HEAD':
+            self.write(body)
         self.finish_answer()
 
     def _write_head(
@@ -189,15 +292,78 @@
     ) -> None:
         if self._ended:
             return
-        if self._request_intake.leaving:
+        is_cut = self.is_incomplete and self._holding is not None
+        self._closes = self._request_intake.leaving or self._is_short_of_connections()
+        if self._closes or is_cut:
             headers['Connection'] = 'close'
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason or 'Status')
         fut = self._conn.write_headers(line, headers)
         self._is_head_sent = True
         fut.add_done_callback(futures.retrieve_exception)
 
+    def _decide(self, size: int) -> None:
+        """Refuse the request if its head, or the size of its body so far, tells so."""
+        incoming = typing.cast(intake.IncomingRequest, self._incoming)
+        holding = typing.cast(bodies.Holding, self._holding)
+        self._is_decided = True
+        try:
+            allowance = self._request_intake.check_head(incoming)
+        except verdict.Refusal as exc:
+            self.refuse(exc)
+            return
+        self._max_body_bytes = allowance.body_bytes
+        holding.deadline_at = allowance.deadline_at
+        if size > allowance.body_bytes:
+            self._refuse_body(intake.refuse_size(size, allowance.body_bytes))
+        elif not holding.extend_to(size):
+            self._refuse_without_room()
+
+    def _refuse_without_room(self) -> None:
+        reason = f'no_room_for_bodies: held={self._budget.held_bytes}'
+        self._refuse_body(verdict.not_run(reason, retry_after_s=NO_ROOM_RETRY_S))
+
+    def _on_dropped(self) -> None:
+        """Refuse the request, whose body has lost its memory to others."""
+        refusal = verdict.not_run(
+            'body_without_progress', retry_after_s=NO_ROOM_RETRY_S
+        )
+        self._refuse_body(refusal)
+
+    def _on_expired(self) -> None:
+        """Refuse the request if it could not be served any more."""
+        holding = typing.cast(bodies.Holding, self._holding)
+        if not self._is_decided:
+            self._decide(len(self._body))
+        if not self._ended and holding.deadline_at <= self._budget.clock():
+            self._refuse_body(verdict.not_run('body_incomplete', STATUS_TIMEOUT))
+
+    def _refuse_body(self, refusal: verdict.Refusal) -> None:
+        self._request_intake.log_refusal(
+            self._headers.get(names.ATTEMPT_ID_HEADER, ''), refusal
+        )
+        self.refuse(refusal)
+
+    def _start_discarding(self) -> None:
+        """Drop the rest of the body for a while, after a refusal was written.
+
+        A close with unread bytes would reset the connection, and the refusal with it.
+        """
+        self._ended = True
+        self._release()
+        # The answer is final, so nothing asks for the body any more.
+        self._headers.pop('Expect', None)
+        self._discarder.add(self._conn.stream)
+
+    def _release(self) -> None:
+        """Free the memory of the body."""
+        if self._holding is not None:
+            self._holding.release()
+        self._body = bytearray()
+        self._incoming = None
+
     async def _serve(self) -> None:
-        await self._request_intake.serve(self._make_incoming_request(), self)
+        incoming = self._incoming or self._make_incoming_request()
+        await self._request_intake.serve(incoming, self)
 
     def _make_incoming_request(self) -> intake.IncomingRequest:
         line = typing.cast(httputil.RequestStartLine, self._start_line)
@@ -218,7 +384,7 @@
                 for pair in headers.get_all()
                 if pair[0].lower() not in names.HEADERS_NOT_FORWARDED
             ),
-            body=b''.join(self._body),
+            body=self._body,
             arrived_at=self._arrived_at,
             deadline_s=_parse_non_negative(deadline_ms) / _MS or None,
             model=headers.get(names.MODEL_HEADER, ''),
@@ -238,6 +404,7 @@
 
         The caller gets a failure if nothing has been sent yet.
         """
+        self._release()
         if task.cancelled():
             return
         exc = task.exception()
@@ -353,6 +520,26 @@
     return int(_parse_non_negative(prompt)), int(_parse_non_negative(answer))
 
 
+def _has_room() -> bool:
+    """Return that there is no shortage, for an application without a listener."""
+    return False
+
+
+def _parse_size(text: str) -> int:
+    """Parse a Content-Length; 0 if it is missing, or not a plain number."""
+    first = text.partition(',')[0].strip()
+    if not first.isascii() or not first.isdecimal():
+        return 0
+    return int(first) if len(first) < _MAX_SIZE_DIGITS else sys.maxsize
+
+
+def _count_header_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Return the size of headers as they are sent, with separators and line ends."""
+    return sum(
+        len(name) + len(text) + _SEPARATORS_BYTES for name, text in headers.get_all()
+    )
+
+
 def _parse_non_negative(text: str) -> float:
     """Parse a number; 0 when it is negative, not finite or malformed."""
     try:
--- a/src/primrosesaddle/platform/settings.py
+++ b/src/primrosesaddle/platform/settings.py
@@ -113,6 +113,8 @@
         service=decoded.service or '',
         link_bytes_per_s=decoded.limits.link_mbps * _MEGA / _BITS_PER_BYTE,
         bounds=_make_bounds(decoded.bounds),
+        memory_bytes=decoded.limits.memory_mb * _MEGA,
+        descriptors=decoded.limits.max_fds,
     )
 
 
--- a/src/primrosesaddle/process/adapter.py
+++ b/src/primrosesaddle/process/adapter.py
@@ -10,6 +10,7 @@
 from primrosesaddle.calls import attempts, intake
 from primrosesaddle.core import verdict
 from primrosesaddle.fleet import fleetview, reader
+from primrosesaddle.net import bodies, connections
 from primrosesaddle.staging import reconciler, weightcache
 
 __all__ = ('Adapter', 'Applications', 'CallApplication')
@@ -18,7 +19,12 @@
 
 
 class CallApplication(httputil.HTTPServerConnectionDelegate, abc.ABC):
-    """The HTTP application that passes callers' requests to an intake."""
+    """The HTTP application that passes callers' requests to an intake.
+
+    While `is_short_of_connections`, connections are closed after their answers.
+    """
+
+    is_short_of_connections: Callable[[], bool]
 
     @abc.abstractmethod
     def close_idle_connections(self) -> None:
@@ -28,6 +34,17 @@
     def refuse_incomplete_requests(self, refusal: verdict.Refusal) -> None:
         """Refuse the requests that have begun to arrive and are not complete."""
 
+    @abc.abstractmethod
+    def close_stalled(self) -> connections.Closable | None:
+        """Give up the oldest request that is refused, or whose body makes no progress.
+
+        Returns its connection, which the caller of this closes, None if there is none.
+        """
+
+    @abc.abstractmethod
+    def close_expired(self) -> None:
+        """Refuse the requests whose bodies come too late, and close refused ones."""
+
     @abc.abstractmethod
     def count_unanswered(self) -> int:
         """Return the number of requests whose answer has not been sent whole.
@@ -40,9 +57,12 @@
     """Builds the HTTP applications that a process serves."""
 
     def make_call_application(
-        self, request_intake: intake.RequestIntake
+        self, request_intake: intake.RequestIntake, budget: bodies.BodyBudget
     ) -> CallApplication:
-        """Return the application that passes callers' requests to an intake."""
+        """Return the application that passes callers' requests to an intake.
+
+        `budget` is for the bodies of the requests.
+        """
 
     def make_readiness_application(
         self, is_ready: Callable[[], bool]
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -7,7 +7,7 @@
 from primrosesaddle.core import clocks, kernel
 from primrosesaddle.fleet import mesh, node
 from primrosesaddle.membership import link, peers, wire
-from primrosesaddle.process import adapter, crashreports, listeners
+from primrosesaddle.process import adapter, capacity, crashreports, listeners
 from primrosesaddle.staging import pieces, piecesources, reconciler, weightcache
 from primrosesaddle.telemetry import metrics
 
@@ -70,7 +70,12 @@
         self._mesh.start()
         if self._reconciler is not None:
             self.kernel.keep_running(self._reconciler.run, 'keeper')
-        listeners.serve_metrics(self._metrics, self.cfg)
+        planned = capacity.plan_capacity(self.cfg.memory_bytes, self.cfg.descriptors)
+        listeners.serve(
+            listeners.make_metrics_application(self._metrics),
+            self.cfg.listen.metrics,
+            planned.other_connections,
+        )
 
     async def stop(self) -> None:
         """Notify peers that this agent leaves, then stop every service."""
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -4,8 +4,6 @@
 import math
 import random
 
-from tornado import httpserver, httputil
-
 from primrosesaddle.calls import (
     admission,
     backends,
@@ -21,8 +19,16 @@
 from primrosesaddle.core import clocks, kernel, layers, pause, rendezvous
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
-from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, crashreports, departures, goals, listeners
+from primrosesaddle.net import bodies, pool
+from primrosesaddle.process import (
+    adapter,
+    capacity,
+    crashreports,
+    departures,
+    goals,
+    guards,
+    listeners,
+)
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -59,6 +65,7 @@
         self._clock = asyncio.get_running_loop().time
         self._rand = random.Random()
         self._platform = platform
+        self._capacity = capacity.plan_capacity(cfg.memory_bytes, cfg.descriptors)
         # A version announced before this process read the store must be in force here
         # by the time that others count it as in touch.
         assumed_age_s = max(0.0, cfg.bounds.version_s - cfg.bounds.contact_s)
@@ -90,12 +97,14 @@
         self._request_intake = intake.RequestIntake(
             self._view, self._forwarder, self._drain
         )
+        body_budget = bodies.BodyBudget(self._capacity.body_bytes, self._clock)
         self._call_application = platform.applications.make_call_application(
-            self._request_intake
+            self._request_intake, body_budget
         )
+        self._guard = guards.Guard(self._call_application, self._view)
+        self._guard.report(self._metrics, self._request_intake, body_budget)
         self._reader = self._make_reader()
         self.mesh.is_store_reachable = lambda: self._reader.is_store_reachable
-        self._servers: list[httpserver.HTTPServer] = []
         self._path_delay_s = 0.0
         self._stop_by = math.inf
         self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
@@ -153,18 +162,19 @@
         keep_running(self._goal_sender.run, 'goals')
         self.mesh.start()
         applications = self._platform.applications
-        self._serve_application(self._call_application, self.cfg.listen.callers)
-        self._serve_application(
-            applications.make_readiness_application(lambda: self.ready),
-            self.cfg.listen.ready,
-        )
-        self._serve_application(
-            applications.make_directory_application(
-                lambda region, data_centre: self.list_addresses(), DIRECTORY_TTL_S
-            ),
-            self.cfg.listen.directory,
+        guards.start_listeners(
+            self._guard,
+            self.cfg.listen,
+            self._capacity,
+            {
+                'callers': self._call_application,
+                'ready': applications.make_readiness_application(lambda: self.ready),
+                'directory': applications.make_directory_application(
+                    lambda region, data_centre: self.list_addresses(), DIRECTORY_TTL_S
+                ),
+                'metrics': listeners.make_metrics_application(self._metrics),
+            },
         )
-        self._servers.append(listeners.serve_metrics(self._metrics, self.cfg))
 
     async def stop(self) -> None:
         """Finish the calls in flight, then stop every service.
@@ -192,8 +202,7 @@
             idle_s = now - max(idle_since, callers_gone_at)
             if idle_s > IDLE_BEFORE_STOP_S:
                 break
-        for server in self._servers:
-            server.stop()
+        self._guard.stop()
         await self._finish_last_calls()
         await self.kernel.stop()
         await self.mesh.stop()
@@ -234,12 +243,6 @@
         self.cfg = cfg
         self.mesh.set_seeds(cfg.seeds)
 
-    def _serve_application(
-        self, app: httputil.HTTPServerConnectionDelegate, address: str | None
-    ) -> None:
-        if address is not None:
-            self._servers.append(listeners.serve(app, address))
-
     def list_addresses(self) -> list[str]:
         """Return the addresses of ready entries for callers, in random order."""
         known = [peer.card.callers for peer in self.mesh.ready_entries()]
@@ -314,6 +317,7 @@
                 self._required_version,
                 lambda model: self._required_version(model, BEGIN_MARGIN_S),
                 self._crash_watch,
+                self._capacity.answer_bytes,
             )
         )
 
@@ -387,6 +391,7 @@
         self._pauses = pause.PauseDetector(clocks.seconds_since_boot())
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._guard.sweep()
             self._view.drop_expired_servers()
             self._connections.close_expired()
             self._path_delay_s = min(
