--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -46,6 +46,7 @@
 
     `min_version_to_send` returns the lowest version of a model to which a call is
     sent, `min_version_to_begin` the lowest on which a sent call may still begin.
+    `answer_bytes` is what buffered answers may use together.
     """
 
     view: fleetview.View
@@ -60,6 +61,7 @@
     min_version_to_send: Callable[[str], int]
     min_version_to_begin: Callable[[str], int]
     crash_watch: crashwatch.CrashWatch
+    answer_bytes: int = attempts.MAX_TOTAL_BUFFERED_BYTES
 
 
 class Forwarder:
@@ -75,7 +77,7 @@
             deps.crash_watch.get_block,
             self._clock,
         )
-        self._memory_budget = memory.MemoryBudget(attempts.MAX_TOTAL_BUFFERED_BYTES)
+        self._memory_budget = memory.MemoryBudget(deps.answer_bytes)
         self.in_flight = 0
         # Called with each call just before it is sent, and its server.
         self.send_listeners: list[SendListener] = []
