Balance: entries ask agents for the load of their servers before they send

Two thirds of the calls went to servers of which the entry had no report, as an agent links to 21 of 33 entries and an unknown server counts as idle; the rest met on servers that the reports, 0.2 to 0.7 s old, had idle. The fourth figure of the load header was dropped, so that calls went to machines at 0.4 of their speed.

Change: where servers state their pace, an entry draws up to three near engines and asks their agents for the load; servers farther away are asked when the near ones are busy. Agents book the calls that entries tell them of, without the 0.2 s of the engine's own report. Nothing is asked where no server states a pace. The pace that comes with an answer is used while it is fresh, for plain services as well.

--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -1,14 +1,16 @@
 """Backend servers as known to an entry: published record, agent's report, own calls."""
 
 import dataclasses
+import enum
 from collections.abc import Callable, Iterable, Mapping
 
+from primrosesaddle.balance import figures
 from primrosesaddle.calls import notices, request
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.telemetry import journal
 
-__all__ = ('Backend', 'Backends', 'Report')
+__all__ = ('Backend', 'Backends', 'CallStage', 'Report')
 
 # Agents report five times a second; a report is stale after three missed ones.
 REPORT_STALE_S = 0.8
@@ -22,6 +24,18 @@
 LOAD_STALE_S = 1.0  # how long a load that came with an answer is used
 
 
+class CallStage(enum.Enum):
+    """How far a call at a server has come."""
+
+    SENT = 'sent'
+    READ = 'read'
+    ENDED = 'ended'
+
+
+# Called with the server, the call, and how far the call has come there.
+CallListener = Callable[['Backend', request.Call, CallStage], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """A server's state as reported by its agent.
@@ -49,24 +63,24 @@
     """One backend server, and the calls that this entry runs there.
 
     `unread_tokens` maps the id of a call to the size of its prompt until the first
-    event of the answer. `other_calls` is the number of calls that other entries have
-    there, as of `other_calls_at`. `passing_calls` counts the calls of this entry
-    that begin at another server of a chain and pass through this one. Until
-    `quiet_until` the server wants no calls.
+    event of the answer. `load` is what was heard of its load last, apart from that.
+    `passing_calls` counts the calls of this entry that begin at another server of a
+    chain and pass through this one. Until `quiet_until` the server wants no calls.
+    `call_listeners` learn how far each call at the server has come.
     """
 
     record: servers.BackendServer
     calls: dict[str, request.Call] = dataclasses.field(default_factory=dict)
     unread_tokens: dict[str, int] = dataclasses.field(default_factory=dict)
     report: Report | None = None
-    other_calls: int = 0
-    other_calls_at: float = 0.0
+    load: figures.Figures = figures.Figures()
     suspect_until: float = 0.0
     suspect_count: int = 0
     failure_share: float = 0.0
     is_removed: bool = False
     passing_calls: int = 0
     quiet_until: float = 0.0
+    call_listeners: list[CallListener] = dataclasses.field(default_factory=list)
 
     @property
     def server_id(self) -> str:
@@ -126,11 +140,12 @@
         if self.is_superseded:
             return
         self.update_load(report.active + report.queued, report.received_at)
+        self.load = self.load.with_pace(report.pace, report.received_at)
 
     def update_load(self, total: int, now: float) -> None:
         """Derive the number of other entries' calls from the total at the server."""
-        self.other_calls = max(0, total - len(self.calls))
-        self.other_calls_at = now
+        others = max(0, total - len(self.calls))
+        self.load = self.load.with_others(others, now)
 
     def count_unread_tokens(self) -> int:
         """Return the prompt tokens of own calls that the server has yet to read."""
@@ -140,15 +155,18 @@
         """Count a call that has been given a slot of the server."""
         self.calls[call.call_id] = call
         self.unread_tokens[call.call_id] = call.cost.prompt_tokens
+        self._notify(call, CallStage.SENT)
 
     def mark_prompt_read(self, call: request.Call) -> None:
         """Record that the server has read a call's prompt."""
-        self.unread_tokens.pop(call.call_id, None)
+        if self.unread_tokens.pop(call.call_id, None) is not None:
+            self._notify(call, CallStage.READ)
 
     def remove_call(self, call: request.Call) -> None:
         """Stop counting a call, whose attempt at the server has ended."""
-        self.calls.pop(call.call_id, None)
         self.unread_tokens.pop(call.call_id, None)
+        if self.calls.pop(call.call_id, None) is not None:
+            self._notify(call, CallStage.ENDED)
 
     def mark_suspect(self, now: float, reason: str) -> None:
         """Exclude the server from selection for a while, longer each time in a row."""
@@ -167,9 +185,13 @@
 
     def _count_other_calls(self, now: float) -> int:
         """Return the number of other entries' calls, 0 when it is stale."""
-        if now - self.other_calls_at > LOAD_STALE_S:
+        if now - self.load.read_at > LOAD_STALE_S:
             return 0
-        return self.other_calls
+        return self.load.others
+
+    def _notify(self, call: request.Call, stage: CallStage) -> None:
+        for listener in self.call_listeners:
+            listener(self, call, stage)
 
 
 class Backends:
@@ -177,7 +199,8 @@
 
     The functions in `removal_listeners` are called with each server that is removed,
     those in `leaving_listeners` with each incarnation of which this entry is the first
-    to know that it leaves.
+    to know that it leaves, those in `call_listeners` with each call at a server and how
+    far it has come there.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -190,6 +213,7 @@
         self._notices = notices.Notices(clock)
         self.leaving_listeners: list[Callable[[notices.Incarnation], None]] = []
         self.removal_listeners: list[Callable[[Backend], None]] = []
+        self.call_listeners: list[CallListener] = []
 
     def update_records(self, published: Iterable[servers.BackendServer]) -> None:
         """Adopt the published records; remove servers that are leaving or missing."""
@@ -208,7 +232,11 @@
         for server_id, record in usable.items():
             known = self._by_id.get(server_id)
             if known is None:
-                known = Backend(record, report=self._reports.get(record.address))
+                known = Backend(
+                    record,
+                    report=self._reports.get(record.address),
+                    call_listeners=self.call_listeners,
+                )
                 known.quiet_until = self._notices.get_quiet_until(known.incarnation)
                 self._by_id[server_id] = known
             known.record = record
@@ -274,6 +302,10 @@
         """Return the servers of a service that are published and not leaving."""
         return self._by_service.get(service, [])
 
+    def states_pace(self, service: str) -> bool:
+        """Return whether a server of a service has stated its pace with an answer."""
+        return any(known.load.states_pace for known in self.list_servers(service))
+
     def get_by_address(self, address: str) -> Backend | None:
         """Return the server at an address, or None."""
         servers_there = self._by_address.get(address)
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -42,6 +42,7 @@
 
     `min_version_to_send` returns the lowest version of a model to which a call is
     sent, `min_version_to_begin` the lowest on which a sent call may still begin.
+    `ask_loads` asks agents for the load of their servers before a call is placed.
     """
 
     view: fleetview.View
@@ -56,6 +57,7 @@
     min_version_to_send: Callable[[str], int]
     min_version_to_begin: Callable[[str], int]
     crash_watch: crashwatch.CrashWatch
+    ask_loads: Callable[[request.Call, routes.Service], Awaitable[None]]
 
 
 class Forwarder:
@@ -145,6 +147,7 @@
         """
         self._deps.crash_watch.check_may_wait(call)
         call.required_version = self._get_required_version(call)
+        await self._deps.ask_loads(call, service)
         choice = await self._deps.admission.acquire_slot(call, service)
         call.placement_summary = choice.describe(self._clock())
         call.version = choice.version
@@ -539,6 +542,7 @@
             held_s=round(call.queued_s, 3),
             first_s=round(call.first_event_s, 3),
             placed=call.placement_summary,
+            asked=len(call.answers),
             version=call.version,
             required=call.required_version,
             total_s=round(total_s, 3),
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -5,10 +5,11 @@
 import typing
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from primrosesaddle.balance import prediction
 from primrosesaddle.calls import backends, request, routes
 from primrosesaddle.core import layers
 
-__all__ = ('ChainMember', 'Choice', 'Constraints', 'Placer')
+__all__ = ('ChainMember', 'Choice', 'Constraints', 'Cost', 'Placer')
 
 # Added to the prediction for a server in another data centre or region: the round
 # trip, and the price of traffic between data centres.
@@ -54,6 +55,21 @@
     room: tuple[Constraint, ...] = ()
 
 
+class Cost(typing.NamedTuple):
+    """What a call costs at a server, in seconds.
+
+    `further_s` is what it costs besides its predicted time to the first byte.
+    """
+
+    first_byte_s: float
+    further_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Return the sum, by which servers are compared."""
+        return self.first_byte_s + self.further_s
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """The server selected for a call.
@@ -76,7 +92,7 @@
     def describe(self, now: float) -> str:
         """Return a summary for the log.
 
-        It holds the prediction, the running calls, the unread tokens and the age of
+        It holds the prediction, the running calls, the unread tokens, the age of
         the report (-1 for none), and the further servers of the chain.
         """
         backend = self.backend
@@ -255,7 +271,86 @@
         service: routes.Service,
         now: float,
     ) -> tuple[backends.Backend, float] | None:
-        """Return the best server with a free slot, and its prediction, or None."""
+        """Return the best server with a free slot, and its prediction, or None.
+
+        Servers that have just said what their load is come before others.
+        """
+        able = list(candidates)
+        asked = self._select_asked(able, call, service, now)
+        return asked or self._select_unasked(able, call, service, now)
+
+    def _select_asked(
+        self,
+        candidates: Iterable[backends.Backend],
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> tuple[backends.Backend, float] | None:
+        """Return the best of the servers that were asked for a call, or None."""
+        costs = [
+            (cost, backend)
+            for backend in candidates
+            for cost in (self.compute_asked_cost(backend, call, service, now),)
+            if cost is not None
+        ]
+        if not costs:
+            return None
+        cost, backend = min(costs, key=lambda pair: pair[0].total_s)
+        return backend, cost.first_byte_s
+
+    def compute_asked_cost(
+        self,
+        backend: backends.Backend,
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> Cost | None:
+        """Return what a call costs at a server that was asked for its load.
+
+        Returns None for one that was not, lately, or that has no free slot.
+        """
+        answer = call.answers.get(backend.server_id)
+        engine = service.engine
+        if engine is None or answer is None or not answer.is_valid(now):
+            return None
+        if not self._has_free_slot(backend, call, service, now):
+            return None
+        first_byte_s = prediction.predict_first_byte_s(
+            engine,
+            answer.pace,
+            answer.calls,
+            answer.unread_tokens + call.cost.prompt_tokens,
+        )
+        harm_s = prediction.estimate_harm_s(
+            first_byte_s, answer.calls, call.route.pause_s
+        )
+        return Cost(first_byte_s, harm_s + self._compute_price(backend))
+
+    def list_askable_servers(
+        self, call: request.Call, service: routes.Service, required_version: int
+    ) -> list[backends.Backend]:
+        """Return the servers whose load may be asked for a call.
+
+        These are the engines that can run it alone and may get a call now. Nothing is
+        asked of servers that do not state a pace: they have their machines to
+        themselves, and their reports are enough.
+        """
+        if service.engine is None or not self._backends.states_pace(service.name):
+            return []
+        return [
+            backend
+            for backend in self.list_usable_servers(call, service, required_version)
+            if not _find_reason(self._constraints.room, call, backend)
+        ]
+
+    def _select_unasked(
+        self,
+        candidates: Iterable[backends.Backend],
+        call: request.Call,
+        service: routes.Service,
+        now: float,
+    ) -> tuple[backends.Backend, float] | None:
+        """Return the best server by what was heard of their load, or None."""
         best: tuple[backends.Backend, float] | None = None
         best_score = 0.0
         for backend in candidates:
@@ -315,10 +410,14 @@
 
     def _compute_score(self, backend: backends.Backend, predicted_s: float) -> float:
         """Return the score of a server in seconds; the lowest is the best."""
-        score = predicted_s + self._get_distance_s(backend)
-        score += FAILURE_COST_S * backend.failure_share
+        score = predicted_s + self._compute_price(backend)
         return score + self._rand.uniform(0, TIE_S)
 
+    def _compute_price(self, backend: backends.Backend) -> float:
+        """Return the seconds that a server's distance and its failures add."""
+        failure_s = FAILURE_COST_S * backend.failure_share
+        return self.get_distance_s(backend) + failure_s
+
     def _has_free_slot(
         self,
         backend: backends.Backend,
@@ -350,20 +449,20 @@
         running = backend.count_calls(now)
         engine = service.engine
         if engine is None:
-            return PLAIN_WORK_S * (1 + running / (backend.record.slots or 1))
+            work_s = PLAIN_WORK_S * (1 + running / (backend.record.slots or 1))
+            return work_s * backend.load.estimate_pace(now)
         report = backend.get_fresh_report(now)
-        pace = 1.0 if report is None else report.pace
         unread = backend.count_unread_tokens() + call.cost.prompt_tokens
         if report is not None:
             unread += (
                 max(0, report.queued - len(backend.unread_tokens))
                 * engine.usual_prompt_tokens
             )
-        pass_s = engine.event_s * min(1.0, running / engine.slots) if running else 0.0
-        return pace * (unread / engine.read_tokens_per_s + pass_s)
+        pace = backend.load.estimate_pace(now)
+        return prediction.predict_first_byte_s(engine, pace, running, unread)
 
-    def _get_distance_s(self, backend: backends.Backend) -> float:
-        """Return the seconds that are added for a server that is not holders_nearby."""
+    def get_distance_s(self, backend: backends.Backend) -> float:
+        """Return the seconds that are added for a server that is not nearby."""
         data_centre = backend.record.data_centre
         if data_centre == self._data_centre:
             return 0.0
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from primrosesaddle.balance import asking
 from primrosesaddle.calls import routes
 from primrosesaddle.core import verdict
 
@@ -35,7 +36,8 @@
     of the parts of its prompt that other calls may share. `is_trial` is set when it is
     to show whether one of them still crashes servers, `was_cut_off` when a server that
     may have run it closed the connection. `homes` lists the regions in which it may be
-    served and stored, None for all.
+    served and stored, None for all. `answers` holds what agents said of their servers'
+    load when they were asked for this call, by the ids of the servers.
     """
 
     call_id: str
@@ -68,6 +70,7 @@
     is_trial: bool = False
     was_cut_off: bool = False
     homes: frozenset[str] | None = None
+    answers: dict[str, asking.Answer] = dataclasses.field(default_factory=dict)
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -340,6 +340,34 @@
     blocks: tuple[BlockedPart, ...] = ()
 
 
+class LoadQuestion(msgspec.Struct, tag=40, array_like=True, frozen=True):
+    """Question of an entry to an agent for the load of its server at this moment."""
+
+
+class LoadAnswer(msgspec.Struct, tag=41, array_like=True, frozen=True):
+    """Load of an agent's server, whose prompts of `unread_tokens` are not read yet.
+
+    `pace` is over 1 while work takes longer than usual there. `is_known` is false while
+    the agent does not reach the server.
+    """
+
+    is_known: bool
+    calls: int = 0
+    unread_tokens: int = 0
+    pace: float = 1.0
+
+
+class CallNotice(msgspec.Struct, tag=42, array_like=True, frozen=True):
+    """How far a call of the sender has come at the server of an agent.
+
+    `stage` is `sent`, `read` once the server has read the prompt, or `ended`.
+    """
+
+    call_id: str
+    stage: str
+    prompt_tokens: int = 0
+
+
 Body = (
     Hello
     | Heartbeat
@@ -369,6 +397,9 @@
     | VersionAges
     | LeavingServers
     | CrashFacts
+    | LoadQuestion
+    | LoadAnswer
+    | CallNotice
 )
 
 
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -29,7 +29,8 @@
 # Id of the one server that may run the request.
 EXPECT_INSTANCE_HEADER = 'X-Expect-Instance'
 EXPECT_VERSION_HEADER = 'X-Expect-Version'
-# Running and waiting requests and slots of the server, comma-separated.
+# Running and waiting requests and slots of the server, and how long work takes there
+# now in hundredths of the usual time, comma-separated. The last may be missing.
 SERVER_LOAD_HEADER = 'X-Server-Load'
 # Present when the server did not run the request.
 NOT_EXECUTED_HEADER = 'X-Not-Executed'
--- a/src/primrosesaddle/process/agent.py
+++ b/src/primrosesaddle/process/agent.py
@@ -7,7 +7,7 @@
 from primrosesaddle.core import clocks, kernel
 from primrosesaddle.fleet import mesh, node
 from primrosesaddle.membership import link, peers, wire
-from primrosesaddle.process import adapter, crashreports, listeners
+from primrosesaddle.process import adapter, crashreports, listeners, loadquestions
 from primrosesaddle.staging import pieces, piecesources, reconciler, weightcache
 from primrosesaddle.telemetry import metrics
 
@@ -58,6 +58,7 @@
                 clocks.seconds_since_boot,
             )
             self._mesh.get_version_ages_s = self._reconciler.get_known_ages_s
+            loadquestions.answer_questions(self._mesh, self._reconciler, self._clock)
         self._mesh.message_dispatcher.register(wire.Goal, self._on_goal)
         # Agents keep what entries know of crashes, in case all entries are restarted.
         self.crash_history = crashes.CrashHistory(self._clock, lambda part: False)
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -22,7 +22,14 @@
 from primrosesaddle.fleet import feed, fleetview, mesh, node, reader
 from primrosesaddle.membership import link, wire
 from primrosesaddle.net import pool
-from primrosesaddle.process import adapter, crashreports, departures, goals, listeners
+from primrosesaddle.process import (
+    adapter,
+    crashreports,
+    departures,
+    goals,
+    listeners,
+    loadquestions,
+)
 from primrosesaddle.staging import piecesources, weightcache
 from primrosesaddle.telemetry import journal, metrics
 
@@ -84,7 +91,10 @@
         departures.share_departures(self.mesh, self.backends)
         self.crash_history = crashes.CrashHistory(self._clock, self._owns_trial)
         self._crash_watch = self._make_crash_watch()
-        self._admission = self._make_admission()
+        self._placer = self._make_placer()
+        self._admission = admission.Admission(
+            self._placer, self._required_version, self._clock
+        )
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
         self._request_intake = intake.RequestIntake(
@@ -280,8 +290,8 @@
             self._clock,
         )
 
-    def _make_admission(self) -> admission.Admission:
-        placer = placement.Placer(
+    def _make_placer(self) -> placement.Placer:
+        return placement.Placer(
             self.backends,
             self.cfg.data_centre,
             self.cfg.regions,
@@ -289,7 +299,6 @@
             self._clock,
             self._estimate_part_load_s,
         )
-        return admission.Admission(placer, self._required_version, self._clock)
 
     def _make_forwarder(self) -> forwarding.Forwarder:
         bounds = self.cfg.bounds
@@ -300,6 +309,15 @@
             self.mesh.count_entries,
             self._clock,
         )
+        asker = loadquestions.LoadAsker(
+            self.mesh,
+            self.backends,
+            self._placer,
+            self._required_version,
+            self._metrics,
+            self._rand,
+            self._clock,
+        )
         return forwarding.Forwarder(
             forwarding.Dependencies(
                 self._view,
@@ -314,6 +332,7 @@
                 self._required_version,
                 lambda model: self._required_version(model, BEGIN_MARGIN_S),
                 self._crash_watch,
+                asker.ask,
             )
         )
 
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -107,11 +107,17 @@
         self._goals: list[loadplan.Goal] = []
         self._area = area.StagingArea(engine, cache, clock)
         self._state: EngineState | None = None
+        self.state_listeners: list[Callable[[EngineState], None]] = []
         self._failed_checks = 0
         self._order: _Order | None = None
         self._last_report: wire.ServerState | None = None
         self._reported_at = 0.0
 
+    @property
+    def engine_state(self) -> EngineState | None:
+        """The state of the engine as it was read last, None while it is lost."""
+        return self._state
+
     def set_goal(self, goal: loadplan.Goal) -> None:
         """Adopt a wanted version, unless a newer one of the model is wanted already.
 
@@ -172,6 +178,8 @@
             journal.info('engine.restarted', born_ms=state.start_time_ms)
             self._forget_engine()
         self._state = state
+        for listener in self.state_listeners:
+            listener(state)
 
     def _forget_engine(self) -> None:
         """Discard what is known of the engine, its staging area and the last order."""
