Balance: a slow machine and a slow server are told apart, and harm counts calls

Cause: the pace in an engine's report and the fourth figure of its answers were taken for the same. Entries without an answer of their own sent no notices.

Change: the fourth figure is a slowdown of the machine, multiplied with the pace. Entries pass it on to the agent with the notice that a prompt has been read; agents send with their reports that machines are shared. The cost of a call counts the calls that the pass makes late, the call itself included. The log tells the longest pause of a stream and how many agents answered for the call.

--- a/src/primrosesaddle/balance/prediction.py
+++ b/src/primrosesaddle/balance/prediction.py
@@ -9,8 +9,8 @@
 
 __all__ = ('EngineWork', 'estimate_harm_s', 'predict_first_byte_s')
 
-# Part of the objective for pauses from which a pass of an engine is taken for a risk:
-# more prompts arrive before it begins.
+# Part of an objective from which a predicted time is taken for a risk: the pass that is
+# under way and the prompts that arrive meanwhile are not in the prediction.
 RISK_SHARE = 0.5
 
 
@@ -42,14 +42,24 @@
     return pace * (unread_tokens / work.read_tokens_per_s + pass_s)
 
 
-def estimate_harm_s(pass_s: float, running: float, pause_s: float) -> float:
-    """Return the expected delay, beyond their objective, of the calls at an engine.
+def estimate_harm_s(
+    pass_s: float, running: float, pause_s: float, objective_s: float
+) -> float:
+    """Return the expected delay of calls at an engine beyond their objectives.
 
-    A pass that takes `pass_s` is a pause of all streams that run there. `pause_s` is
-    the objective for pauses, 0 for none.
+    A pass that takes `pass_s` is a pause of all streams that run there, for which the
+    objective is `pause_s`, 0 for none; the call that is sent gets its first byte after
+    it, for which the objective is `objective_s`.
     """
-    safe_s = RISK_SHARE * pause_s
-    if not pause_s or pass_s <= safe_s:
+    late_calls = _estimate_risk(pass_s, objective_s)
+    if pause_s:
+        late_calls += running * _estimate_risk(pass_s, pause_s)
+    return late_calls * (pause_s or objective_s)
+
+
+def _estimate_risk(expected_s: float, limit_s: float) -> float:
+    """Return the probability, from 0 to 1, that something takes longer than a limit."""
+    safe_s = RISK_SHARE * limit_s
+    if expected_s <= safe_s:
         return 0.0
-    probability = min(1.0, (pass_s - safe_s) / (pause_s - safe_s))
-    return probability * pause_s * (1 + running)
+    return min(1.0, (expected_s - safe_s) / (limit_s - safe_s))
--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -29,8 +29,8 @@
 
     `signed` is whether the answer has the server's seal, `not_run` whether the
     server states that it did not run the call. `load` is the number of calls that
-    run or wait at the server, `pace` how many times longer than usual work takes there
-    now, each None when it is not stated. `at_fault` is the address
+    run or wait at the server, `slowdown` how many times longer than usual work takes
+    there now, each None when it is not stated. `at_fault` is the address
     of the server of a chain that could not run its layers, empty for none. `leaving`
     is whether the server says that it is leaving. `quiet_s` is for how many seconds a
     server that refuses the call wants no calls, NaN for an unreadable time, 0 for none.
@@ -43,7 +43,7 @@
     signed: bool
     not_run: bool
     load: int | None
-    pace: float | None = None
+    slowdown: float | None = None
     at_fault: str = ''
     leaving: bool = False
     quiet_s: float = 0.0
@@ -164,9 +164,9 @@
         backend = self.choice.backend
         if self.head.load is not None:
             backend.update_load(self.head.load, self.last_progress_at)
-        if self.head.pace is not None:
-            backend.load = backend.load.with_stated_pace(
-                self.head.pace, self.last_progress_at
+        if self.head.slowdown is not None:
+            backend.load = backend.load.with_slowdown(
+                self.head.slowdown, self.last_progress_at
             )
 
     def on_body(self, chunk: bytes) -> None:
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -44,7 +44,8 @@
     to the layers that are loaded. `switching` is set while the server loads other
     weights and does not serve. `pace` is over 1 for a server that is slower than its
     profile. `ready_in_s` is in how many seconds an empty server will hold layers, 0
-    when that is not known.
+    when that is not known. `is_machine_shared` is whether the agent has heard of a
+    slowdown that the server stated.
     """
 
     received_at: float
@@ -56,6 +57,7 @@
     reachable: bool = True
     start_time_ms: int = 0
     ready_in_s: float = 0
+    is_machine_shared: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,13 +136,28 @@
             return None
         return max(0.0, report.ready_in_s - (now - report.received_at))
 
+    @property
+    def is_machine_shared(self) -> bool:
+        """Return whether the server has stated a slowdown, to whatever entry."""
+        report = self.report
+        is_reported = report is not None and report.is_machine_shared
+        return is_reported or self.load.states_slowdown
+
+    def estimate_pace(self, now: float) -> float:
+        """Return how many times longer than by its profile work is expected to take.
+
+        That is what its agent reports, times the slowdown of its machine just now.
+        """
+        report = self.get_fresh_report(now)
+        own_pace = 1.0 if report is None else report.pace
+        return own_pace * self.load.estimate_slowdown(now)
+
     def update_report(self, report: Report) -> None:
         """Store the agent's report, and the load that it states."""
         self.report = report
         if self.is_superseded:
             return
         self.update_load(report.active + report.queued, report.received_at)
-        self.load = self.load.with_pace(report.pace, report.received_at)
 
     def update_load(self, total: int, now: float) -> None:
         """Derive the number of other entries' calls from the total at the server."""
@@ -302,9 +319,9 @@
         """Return the servers of a service that are published and not leaving."""
         return self._by_service.get(service, [])
 
-    def states_pace(self, service: str) -> bool:
-        """Return whether a server of a service has stated its pace with an answer."""
-        return any(known.load.states_pace for known in self.list_servers(service))
+    def states_slowdown(self, service: str) -> bool:
+        """Return whether a server of a service states how slow its machine is now."""
+        return any(known.is_machine_shared for known in self.list_servers(service))
 
     def get_by_address(self, address: str) -> Backend | None:
         """Return the server at an address, or None."""
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -356,6 +356,9 @@
             complete = attempt.splitter.feed(chunk)
             if not complete or not contest.claim(attempt):
                 return None
+            if call.answer_started:
+                pause_s = self._clock() - attempt.last_progress_at
+                call.longest_pause_s = max(call.longest_pause_s, pause_s)
             attempt.record_progress()
             attempt.choice.backend.mark_prompt_read(call)
             call.resume_from = attempt.splitter.last_id
@@ -541,6 +544,7 @@
             spent_s=round(call.spent_s, 3),
             held_s=round(call.queued_s, 3),
             first_s=round(call.first_event_s, 3),
+            pause_s=round(call.longest_pause_s, 3),
             placed=call.placement_summary,
             asked=len(call.answers),
             version=call.version,
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -322,7 +322,7 @@
             answer.unread_tokens + call.cost.prompt_tokens,
         )
         harm_s = prediction.estimate_harm_s(
-            first_byte_s, answer.calls, call.route.pause_s
+            first_byte_s, answer.calls, call.route.pause_s, call.route.objective_s
         )
         return Cost(first_byte_s, harm_s + self._compute_price(backend))
 
@@ -332,10 +332,10 @@
         """Return the servers whose load may be asked for a call.
 
         These are the engines that can run it alone and may get a call now. Nothing is
-        asked of servers that do not state a pace: they have their machines to
+        asked of servers that do not state a slowdown: they have their machines to
         themselves, and their reports are enough.
         """
-        if service.engine is None or not self._backends.states_pace(service.name):
+        if service.engine is None or not self._backends.states_slowdown(service.name):
             return []
         return [
             backend
@@ -450,7 +450,7 @@
         engine = service.engine
         if engine is None:
             work_s = PLAIN_WORK_S * (1 + running / (backend.record.slots or 1))
-            return work_s * backend.load.estimate_pace(now)
+            return work_s * backend.estimate_pace(now)
         report = backend.get_fresh_report(now)
         unread = backend.count_unread_tokens() + call.cost.prompt_tokens
         if report is not None:
@@ -458,7 +458,7 @@
                 max(0, report.queued - len(backend.unread_tokens))
                 * engine.usual_prompt_tokens
             )
-        pace = backend.load.estimate_pace(now)
+        pace = backend.estimate_pace(now)
         return prediction.predict_first_byte_s(engine, pace, running, unread)
 
     def get_distance_s(self, backend: backends.Backend) -> float:
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -38,6 +38,7 @@
     may have run it closed the connection. `homes` lists the regions in which it may be
     served and stored, None for all. `answers` holds what agents said of their servers'
     load when they were asked for this call, by the ids of the servers.
+    `longest_pause_s` is the longest time between events of its stream.
     """
 
     call_id: str
@@ -60,6 +61,7 @@
     worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
     queued_s: float = 0.0
     first_event_s: float = 0.0
+    longest_pause_s: float = 0.0
     placement_summary: str = ''
     version: int = 0
     required_version: int = 0
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -254,7 +254,8 @@
     """State of an agent's backend server, which listens at an address.
 
     `ready_in_s` is the time until an empty server is expected to hold layers, 0 if not
-    known. `leaving` is whether the server says that it is leaving.
+    known. `leaving` is whether the server says that it is leaving, `is_machine_shared`
+    whether it has stated to an entry how slow its machine is.
     """
 
     address: str
@@ -267,6 +268,7 @@
     pace: float = 1.0
     ready_in_s: float = 0
     leaving: bool = False
+    is_machine_shared: bool = False
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
@@ -347,8 +349,8 @@
 class LoadAnswer(msgspec.Struct, tag=41, array_like=True, frozen=True):
     """Load of an agent's server, whose prompts of `unread_tokens` are not read yet.
 
-    `pace` is over 1 while work takes longer than usual there. `is_known` is false while
-    the agent does not reach the server.
+    `pace` is over 1 while work takes longer than by the server's profile. `is_known` is
+    false while the agent does not reach the server.
     """
 
     is_known: bool
@@ -361,11 +363,14 @@
     """How far a call of the sender has come at the server of an agent.
 
     `stage` is `sent`, `read` once the server has read the prompt, or `ended`.
+    `slowdown` is how many times longer than usual work took on the server's machine
+    when its answer began, 0 if it has not just said so.
     """
 
     call_id: str
     stage: str
     prompt_tokens: int = 0
+    slowdown: float = 0.0
 
 
 Body = (
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -15,8 +15,8 @@
 _MS = 1000
 MIN_DEADLINE_MS = 1
 _COUNT = re.compile('[0-9]{1,9}')
-_PACE_INDEX = 3  # in the load header, after running, waiting and slots
-_USUAL_PACE = 100  # stated by a machine on which work takes as long as usual
+_SLOWDOWN_INDEX = 3  # in the load header, after running, waiting and slots
+_NO_SLOWDOWN = 100  # stated by a machine on which work takes as long as usual
 REFUSAL_STATUSES = frozenset((429, 503))
 
 
@@ -68,7 +68,7 @@
         signed=names.SEAL_HEADER in headers,
         not_run=names.NOT_EXECUTED_HEADER in headers or head.status == 421,
         load=_parse_load(headers.get(names.SERVER_LOAD_HEADER, '')),
-        pace=_parse_pace(headers.get(names.SERVER_LOAD_HEADER, '')),
+        slowdown=_parse_slowdown(headers.get(names.SERVER_LOAD_HEADER, '')),
         at_fault=headers.get(names.AT_FAULT_HEADER, ''),
         leaving=is_leaving(headers),
         quiet_s=_parse_quiet_s(headers) if head.status in REFUSAL_STATUSES else 0.0,
@@ -130,9 +130,9 @@
     return int(parts[0]) + int(parts[1])
 
 
-def _parse_pace(text: str) -> float | None:
-    """Return how many times longer than usual work takes, None if it is not stated."""
+def _parse_slowdown(text: str) -> float | None:
+    """Return how many times longer work takes now than usual, None if not stated."""
     parts = [part.strip() for part in text.split(',')]
-    if len(parts) <= _PACE_INDEX or not _COUNT.fullmatch(parts[_PACE_INDEX]):
+    if len(parts) <= _SLOWDOWN_INDEX or not _COUNT.fullmatch(parts[_SLOWDOWN_INDEX]):
         return None
-    return int(parts[_PACE_INDEX]) / _USUAL_PACE or None
+    return int(parts[_SLOWDOWN_INDEX]) / _NO_SLOWDOWN or None
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -384,6 +384,7 @@
             body.reachable,
             body.start_time_ms,
             body.ready_in_s,
+            body.is_machine_shared,
         )
         self.backends.update_report(body.address, report)
         if body.leaving:
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -82,7 +82,11 @@
 
 
 class EngineReconciler:
-    """Fetches the wanted version, loads it at the engine's turn, and sends reports."""
+    """Fetches the wanted version, loads it at the engine's turn, and sends reports.
+
+    The functions in `state_listeners` are called with each state that was read.
+    `is_machine_shared` is set by the owner, and sent with the reports.
+    """
 
     def __init__(
         self,
@@ -107,6 +111,7 @@
         self._goals: list[loadplan.Goal] = []
         self._area = area.StagingArea(engine, cache, clock)
         self._state: EngineState | None = None
+        self.is_machine_shared = False
         self.state_listeners: list[Callable[[EngineState], None]] = []
         self._failed_checks = 0
         self._order: _Order | None = None
@@ -325,6 +330,7 @@
                 state.pace,
                 round(self._estimate_ready_s(state), 2),
                 state.leaving,
+                self.is_machine_shared,
             )
         now = self._clock()
         if self._last_report is not None and _without_load(report) == _without_load(
