Balance: a price of leaving a data centre that moves in small steps

Cause: two constants decided when a call leaves.

Change: the price is a floor from the round trips that the mesh measures and an extra that falls while home costs more than there, and rises faster once it does not. It acts where agents are asked for the load of their servers, and nowhere else.

--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -40,6 +40,8 @@
 # Returns why a server may not get a call, empty if it may.
 Constraint = Callable[[request.Call, backends.Backend], str]
 EstimateFillTime = Callable[[routes.Service], float | None]
+# Returns what it costs to leave for the data centre of a server, at least some seconds.
+GetLeavingPrice = Callable[[backends.Backend, float], float]
 _PartHolder = tuple[backends.Backend, layers.Span]
 
 
@@ -58,16 +60,24 @@
 class Cost(typing.NamedTuple):
     """What a call costs at a server, in seconds.
 
-    `further_s` is what it costs besides its predicted time to the first byte.
+    `first_byte_s` is its predicted time to the first byte, `harm_s` how far calls there
+    are delayed beyond their objectives, `price_s` what the distance and the failures
+    of the server add.
     """
 
     first_byte_s: float
-    further_s: float
+    harm_s: float
+    price_s: float
+
+    @property
+    def work_s(self) -> float:
+        """Return what the call costs where the server is."""
+        return self.first_byte_s + self.harm_s
 
     @property
     def total_s(self) -> float:
         """Return the sum, by which servers are compared."""
-        return self.first_byte_s + self.further_s
+        return self.work_s + self.price_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +134,8 @@
 
         `regions` maps data centres to regions. `estimate_fill_time` returns in how
         many seconds an empty server of a service can hold a part of the weights,
-        None when that is not known.
+        None when that is not known. `get_leaving_price_s` may be set afterwards, for
+        servers that were asked for their load.
         """
         self._estimate_fill_time = estimate_fill_time
         self._constraints = constraints or Constraints()
@@ -133,6 +144,7 @@
         self._regions = regions
         self._rand = rand
         self._clock = clock
+        self.get_leaving_price_s: GetLeavingPrice = _get_least_price
 
     def choose_server(
         self,
@@ -324,7 +336,10 @@
         harm_s = prediction.estimate_harm_s(
             first_byte_s, answer.calls, call.route.pause_s, call.route.objective_s
         )
-        return Cost(first_byte_s, harm_s + self._compute_price(backend))
+        least_s = self.get_distance_s(backend)
+        price_s = self.get_leaving_price_s(backend, least_s) if least_s else 0.0
+        failure_s = FAILURE_COST_S * backend.failure_share
+        return Cost(first_byte_s, harm_s, price_s + failure_s)
 
     def list_askable_servers(
         self, call: request.Call, service: routes.Service, required_version: int
@@ -479,6 +494,10 @@
     return next((reason for reason in reasons if reason), '')
 
 
+def _get_least_price(backend: backends.Backend, least_s: float) -> float:
+    return least_s
+
+
 def _count_layers(service: routes.Service) -> int:
     """Return the number of layers of a service's model, 0 for a plain service."""
     return service.engine.layer_count if service.engine else 0
--- a/src/primrosesaddle/membership/peers.py
+++ b/src/primrosesaddle/membership/peers.py
@@ -10,6 +10,7 @@
     'Candidate',
     'Peer',
     'choose_links',
+    'find_fastest_rtt_s',
     'heartbeat_interval_s',
     'is_outdated',
 )
@@ -85,6 +86,19 @@
     return max(HEARTBEAT_INTERVAL_S, peer_count * HEARTBEAT_BYTES / CONTROL_BYTES_PER_S)
 
 
+def find_fastest_rtt_s(known: Iterable[Peer], data_centre: str) -> float:
+    """Return the round trip in seconds to the fastest peer of a data centre.
+
+    Returns 0 if none is known.
+    """
+    rtts_s = (
+        peer.rtt_s
+        for peer in known
+        if peer.rtt_s and peer.card.data_centre == data_centre
+    )
+    return min(rtts_s, default=0.0)
+
+
 def choose_links(card: wire.Card, candidates: Iterable[Candidate]) -> list[Candidate]:
     """Return the candidates to which the process of a card opens connections.
 
--- a/src/primrosesaddle/process/loadquestions.py
+++ b/src/primrosesaddle/process/loadquestions.py
@@ -5,7 +5,7 @@
 import typing
 from collections.abc import Callable, Sequence
 
-from primrosesaddle.balance import asking, book
+from primrosesaddle.balance import asking, book, leaving
 from primrosesaddle.calls import backends, placement, request, routes
 from primrosesaddle.fleet import mesh
 from primrosesaddle.membership import link, peers, wire
@@ -49,7 +49,9 @@
         self._rand = rand
         self._clock = clock
         self._not_asked_until: dict[str, float] = {}
+        self._leaving: dict[str, leaving.Leaving] = {}  # by service
         known_backends.call_listeners.append(self._send_notice)
+        placer.get_leaving_price_s = self._get_leaving_price_s
 
     async def ask(self, call: request.Call, service: routes.Service) -> None:
         """Ask for the load of some servers that may run a call.
@@ -64,13 +66,14 @@
             return
         nearest = asking.draw_nearest([pair[0] for pair in candidates], self._rand)
         await self._ask_some(call, candidates, nearest)
-        best_cost_s = self._find_best_cost_s(call, service)
+        best_cost_s = self._record_costs(call, service, nearest)
         if asking.is_worth_more(best_cost_s, call.route.objective_s):
             known = [pair[0] for pair in candidates]
             farther = asking.draw_farther(known, nearest, self._rand)
             if farther:
                 self._metrics.count('asked_farther', service=service.name)
                 await self._ask_some(call, candidates, farther)
+                self._record_costs(call, service, farther)
 
     def _list_candidates(
         self, call: request.Call, service: routes.Service, required_version: int
@@ -140,18 +143,47 @@
             answer.calls, answer.unread_tokens, answer.pace, now
         )
 
-    def _find_best_cost_s(
-        self, call: request.Call, service: routes.Service
+    def _record_costs(
+        self,
+        call: request.Call,
+        service: routes.Service,
+        drawn: Sequence[asking.Candidate],
     ) -> float | None:
-        """Return the lowest cost of a call at the servers that answered, or None."""
+        """Record the lowest cost of a call in each data centre of drawn servers.
+
+        Returns the lowest cost of all, None if none has answered or has room.
+        """
         now = self._clock()
-        answered = map(self._backends.get_by_id, call.answers)
-        costs = [
-            self._placer.compute_asked_cost(backend, call, service, now)
-            for backend in answered
-            if backend is not None
-        ]
-        return min((cost.total_s for cost in costs if cost is not None), default=None)
+        lowest: dict[str, float] = {}
+        totals = []
+        for candidate in drawn:
+            backend = self._backends.get_by_id(candidate.server_id)
+            if backend is None:
+                continue
+            cost = self._placer.compute_asked_cost(backend, call, service, now)
+            if cost is not None:
+                place = backend.record.data_centre
+                lowest[place] = min(cost.work_s, lowest.get(place, cost.work_s))
+                totals.append(cost.total_s)
+        for place, work_s in lowest.items():
+            self._get_leaving(service.name).record_cost(place, work_s)
+        return min(totals, default=None)
+
+    def _get_leaving(self, service_name: str) -> leaving.Leaving:
+        prices = self._leaving.get(service_name)
+        if prices is None:
+            home = self._links.members.card.data_centre
+            prices = leaving.Leaving(home, self._clock)
+            self._leaving[service_name] = prices
+        return prices
+
+    def _get_leaving_price_s(self, backend: backends.Backend, least_s: float) -> float:
+        """Return what it costs to leave for a server's data centre, in seconds."""
+        place = backend.record.data_centre
+        known = self._links.members.peers.values()
+        rtt_s = peers.find_fastest_rtt_s(known, place)
+        prices = self._get_leaving(backend.record.service)
+        return prices.get_price_s(place, least_s, rtt_s)
 
     def _send_notice(
         self, backend: backends.Backend, call: request.Call, stage: backends.CallStage
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -256,7 +256,11 @@
         placer = placement.Placer(
             known, 'd1', {'d1': 'r1'}, *args, enginestand.no_fill_estimate
         )
-        members = types.SimpleNamespace(alive_peers=lambda role, serves: agents)
+        members = types.SimpleNamespace(
+            alive_peers=lambda role, serves: agents,
+            card=messages.Card('e', 'entry', '', '', 'r1', 'd1'),
+            peers={},
+        )
         asker = loadquestions.LoadAsker(
             types.SimpleNamespace(members=members),
             known,
@@ -329,6 +333,21 @@
     _assert_equal(_choose(placer, asker, enginestand.make_call()), 'b')
 
 
+def test_busy_home_is_left_for_calm_servers_only_when_they_answer(fleet, clock):
+    """A call left for the server that had the lower report, 20 ms away."""
+    known, placer, asker, agents = fleet(
+        a=(4, 4e5, 1.0), b=(4, 4e5, 1.0), far=(0, 0, 1)
+    )
+    _state_slowdown(known, clock[0])
+    backend = known.get_by_id('far')
+    backend.record = dataclasses.replace(backend.record, data_centre='d2')
+    _assert_equal(_choose(placer, asker, enginestand.make_call()), 'far')
+    agents[0].load = agents[1].load = (1, 0, 1.0)
+    call = enginestand.make_call()
+    assertions.assert_that(['a', 'b'], matchers.Contains(_choose(placer, asker, call)))
+    _assert_equal('far' in call.answers, False)
+
+
 def test_agent_is_told_how_far_a_call_has_come(fleet, clock):
     """What an agent is not told of, it knows 0.2 s later."""
     known, _, _, agents = fleet(a=(0, 0, 1.0), b=(0, 0, 1.0))
