--- a/src/primrosesaddle/process/loadquestions.py
+++ b/src/primrosesaddle/process/loadquestions.py
@@ -72,6 +72,13 @@
             farther = asking.draw_farther(known, nearest, self._rand)
             if farther:
                 self._metrics.count('asked_farther', service=service.name)
+                journal.info(
+                    'load.nearby_busy',
+                    id=call.call_id,
+                    cost_s=-1 if best_cost_s is None else round(best_cost_s, 3),
+                    answered=len(call.answers),
+                    asks=','.join(each.server_id for each in farther),
+                )
                 await self._ask_some(call, candidates, farther)
                 self._record_costs(call, service, farther)
 
