--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -46,6 +46,7 @@
 
     `min_version_to_send` returns the lowest version of a model to which a call is
     sent, `min_version_to_begin` the lowest on which a sent call may still begin.
+    `ask_loads` asks agents for the load of their servers before a call is placed.
     `answer_bytes` is what buffered answers may use together.
     """
 
@@ -61,6 +62,7 @@
     min_version_to_send: Callable[[str], int]
     min_version_to_begin: Callable[[str], int]
     crash_watch: crashwatch.CrashWatch
+    ask_loads: Callable[[request.Call, routes.Service], Awaitable[None]]
     answer_bytes: int = attempts.MAX_TOTAL_BUFFERED_BYTES
 
 
@@ -154,6 +156,7 @@
         """
         self._deps.crash_watch.check_may_wait(call)
         call.required_version = self._get_required_version(call)
+        await self._deps.ask_loads(call, service)
         choice = await self._deps.admission.acquire_slot(call, service)
         call.placement_summary = choice.describe(self._clock())
         call.version = choice.version
@@ -367,6 +370,9 @@
             complete = attempt.splitter.feed(chunk)
             if not complete or not contest.claim(attempt):
                 return None
+            if call.answer_started:
+                pause_s = self._clock() - attempt.last_progress_at
+                call.longest_pause_s = max(call.longest_pause_s, pause_s)
             attempt.record_progress()
             attempt.choice.backend.mark_prompt_read(call)
             call.resume_from = attempt.splitter.last_id
@@ -552,7 +558,9 @@
             spent_s=round(call.spent_s, 3),
             held_s=round(call.queued_s, 3),
             first_s=round(call.first_event_s, 3),
+            pause_s=round(call.longest_pause_s, 3),
             placed=call.placement_summary,
+            asked=len(call.answers),
             version=call.version,
             required=call.required_version,
             total_s=round(total_s, 3),
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from primrosesaddle.balance import asking
 from primrosesaddle.calls import routes
 from primrosesaddle.core import verdict
 
@@ -36,7 +37,10 @@
     to show whether one of them still crashes servers, `was_cut_off` when a server that
     may have run it closed the connection. `homes` lists the regions in which it may be
     served and stored, None for all, `homes_version` the version of the configuration
-    by which they were last brought up to date, 0 for that of its arrival.
+    by which they were last brought up to date, 0 for that of its arrival. `answers`
+    holds what agents said of their servers' load when they were asked for this call,
+    by the ids of the servers. `longest_pause_s` is the longest time between events of
+    its stream.
     """
 
     call_id: str
@@ -59,6 +63,7 @@
     worst_verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
     queued_s: float = 0.0
     first_event_s: float = 0.0
+    longest_pause_s: float = 0.0
     placement_summary: str = ''
     version: int = 0
     required_version: int = 0
@@ -70,6 +75,7 @@
     was_cut_off: bool = False
     homes: frozenset[str] | None = None
     homes_version: int = 0
+    answers: dict[str, asking.Answer] = dataclasses.field(default_factory=dict)
 
     @property
     def objective_at(self) -> float:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -256,7 +256,8 @@
     `ready_in_s` is the time until an empty server is expected to hold layers, 0 if not
     known. `leaving` is whether the server says that it is leaving, `cold_remaining_s`
     for how many more seconds it says that it is cold, `memory_share` which part of its
-    memory requests hold.
+    memory requests hold, `is_machine_shared` whether it has stated to an entry how slow
+    its machine is.
     """
 
     address: str
@@ -271,6 +272,7 @@
     leaving: bool = False
     cold_remaining_s: float = 0
     memory_share: float = 0
+    is_machine_shared: bool = False
 
 
 class Goal(msgspec.Struct, tag=25, array_like=True, frozen=True):
@@ -346,6 +348,37 @@
     blocks: tuple[BlockedPart, ...] = ()
 
 
+class LoadQuestion(msgspec.Struct, tag=40, array_like=True, frozen=True):
+    """Question of an entry to an agent for the load of its server at this moment."""
+
+
+class LoadAnswer(msgspec.Struct, tag=41, array_like=True, frozen=True):
+    """Load of an agent's server, whose prompts of `unread_tokens` are not read yet.
+
+    `pace` is over 1 while work takes longer than by the server's profile. `is_known` is
+    false while the agent does not reach the server.
+    """
+
+    is_known: bool
+    calls: int = 0
+    unread_tokens: int = 0
+    pace: float = 1.0
+
+
+class CallNotice(msgspec.Struct, tag=42, array_like=True, frozen=True):
+    """How far a call of the sender has come at the server of an agent.
+
+    `stage` is `sent`, `read` once the server has read the prompt, or `ended`.
+    `slowdown` is how many times longer than usual work took on the server's machine
+    when its answer began, 0 if it has not just said so.
+    """
+
+    call_id: str
+    stage: str
+    prompt_tokens: int = 0
+    slowdown: float = 0.0
+
+
 Body = (
     Hello
     | Heartbeat
@@ -375,6 +408,9 @@
     | VersionAges
     | LeavingServers
     | CrashFacts
+    | LoadQuestion
+    | LoadAnswer
+    | CallNotice
 )
 
 
--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -252,8 +252,8 @@
         if report.switching:
             return None
         return report.received_at, report.active + report.queued
-    if now - backend.other_calls_at <= backends.LOAD_STALE_S:
-        return backend.other_calls_at, backend.count_calls(now)
+    if now - backend.load.read_at <= backends.LOAD_STALE_S:
+        return backend.load.read_at, backend.count_calls(now)
     return None
 
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -31,6 +31,7 @@
     goals,
     guards,
     listeners,
+    loadquestions,
     restrictions,
 )
 from primrosesaddle.restrictions import homes, memoryroom
@@ -116,6 +117,7 @@
             self._metrics,
         )
         self._metrics.gauge('slots_use', self._room.get_highest_use)
+        self._placer = self._make_placer()
         self._admission = self._make_admission()
         self._drain = draining.Drain(clocks.seconds_since_boot)
         self._forwarder = self._make_forwarder()
@@ -322,8 +324,8 @@
             self._clock,
         )
 
-    def _make_admission(self) -> admission.Admission:
-        placer = placement.Placer(
+    def _make_placer(self) -> placement.Placer:
+        return placement.Placer(
             self.backends,
             self.cfg.data_centre,
             self.cfg.regions,
@@ -340,8 +342,10 @@
                 own_limit=self._room.limit_own_calls,
             ),
         )
+
+    def _make_admission(self) -> admission.Admission:
         admitted = admission.Admission(
-            placer, self._required_version, self._clock, self._room
+            self._placer, self._required_version, self._clock, self._room
         )
         admitted.grant_listeners.append(self.cold_starts.grant)
         admitted.release_listeners.append(self.cold_starts.release)
@@ -364,6 +368,15 @@
             self.mesh.count_entries,
             self._clock,
         )
+        asker = loadquestions.LoadAsker(
+            self.mesh,
+            self.backends,
+            self._placer,
+            self._required_version,
+            self._metrics,
+            self._rand,
+            self._clock,
+        )
         return forwarding.Forwarder(
             forwarding.Dependencies(
                 self._view,
@@ -378,6 +391,7 @@
                 self._required_version,
                 lambda model: self._required_version(model, BEGIN_MARGIN_S),
                 self._crash_watch,
+                asker.ask,
                 self._capacity.answer_bytes,
             )
         )
@@ -431,6 +445,7 @@
             body.start_time_ms,
             body.ready_in_s,
             body.memory_share,
+            body.is_machine_shared,
         )
         self.backends.update_report(body.address, report)
         self.cold_starts.update_from_agent(body)
--- a/src/primrosesaddle/staging/reconciler.py
+++ b/src/primrosesaddle/staging/reconciler.py
@@ -91,7 +91,11 @@
 
 
 class EngineReconciler:
-    """Fetches the wanted version, loads it at the engine's turn, and sends reports."""
+    """Fetches the wanted version, loads it at the engine's turn, and sends reports.
+
+    The functions in `state_listeners` are called with each state that was read.
+    `is_machine_shared` is set by the owner, and sent with the reports.
+    """
 
     def __init__(
         self,
@@ -116,6 +120,8 @@
         self._goals: list[loadplan.Goal] = []
         self._area = area.StagingArea(engine, cache, clock)
         self._state: EngineState | None = None
+        self.is_machine_shared = False
+        self.state_listeners: list[Callable[[EngineState], None]] = []
         self._failed_checks = 0
         self._order: _Order | None = None
         self._last_report: wire.ServerState | None = None
@@ -124,6 +130,11 @@
         self._cold_checked_at = 0.0
         self._watch_cold_until = 0.0
 
+    @property
+    def engine_state(self) -> EngineState | None:
+        """The state of the engine as it was read last, None while it is lost."""
+        return self._state
+
     def set_goal(self, goal: loadplan.Goal) -> None:
         """Adopt a wanted version, unless a newer one of the model is wanted already.
 
@@ -189,6 +200,8 @@
             journal.info('engine.restarted', born_ms=state.start_time_ms)
             self._forget_engine()
         self._state = state
+        for listener in self.state_listeners:
+            listener(state)
 
     async def _update_cold(self) -> None:
         """Read whether the engine is cold, while entries ask for it."""
@@ -354,6 +367,7 @@
                 state.leaving,
                 round(max(0.0, self._cold_until - self._clock()), 2),
                 round(state.memory_share, 3),
+                self.is_machine_shared,
             )
         now = self._clock()
         if self._last_report is not None and _without_load(report) == _without_load(
