--- a/src/primrosesaddle/overload/comeback.py
+++ b/src/primrosesaddle/overload/comeback.py
@@ -7,9 +7,9 @@
 
 __all__ = ('choose_retry_s',)
 
-EARLIEST_SHARE = 0.25  # of the remaining time of a call
-LATEST_SHARE = 0.55
-MAX_REMAINING_S = 7.0  # that counts; the load may be gone long before a later retry
+EARLIEST_SHARE = 0.35  # of the remaining time of a call
+LATEST_SHARE = 0.65
+MAX_REMAINING_S = 6.0  # that counts; the load may be gone long before a later retry
 MIN_RETRY_S = 0.1  # a retry that is sooner meets the same load
 
 
