Room: servers that were asked are filled by their answers; refused callers are spread

Cause: where agents are asked for the load of a server, the room there was still decided by the entry's share of an older report. Refused callers were told up to 0.65 of their remaining time, while they come back after a third of it at the latest, so that most of them came back together; the simulation didn't model that. Change: a server that was asked takes a call while its answer is below the target of Control; callers are spread over 0.26 to 0.33 of their remaining time, and the simulation's callers wait for a third at most.

--- a/bench/overloadworld.py
+++ b/bench/overloadworld.py
@@ -298,7 +298,8 @@
             try:
                 await self._serve(call)
             except verdict.Refusal as exc:
-                retry_after_s = exc.retry_after_s or 0.5
+                remaining_s = call.deadline_at - self._clock()
+                retry_after_s = min(exc.retry_after_s or 0.5, remaining_s / 3)
                 continue
             taken_s = self._clock() - first_at
             load.waits_s.append((call.queued_s, taken_s, attempt, kind.objective_s))
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -6,7 +6,7 @@
 import typing
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-from primrosesaddle.balance import prediction
+from primrosesaddle.balance import asking, prediction
 from primrosesaddle.calls import backends, request, routes
 from primrosesaddle.core import layers
 
@@ -45,6 +45,9 @@
 # Returns how many calls this entry may have at a server, given a call that may be
 # added; None where the free slots of the server decide.
 OwnLimit = Callable[[request.Call, backends.Backend], int | None]
+# Returns how many calls of all entries a server may have, given a call that may be
+# added; None where its free slots decide.
+TotalLimit = Callable[[request.Call, backends.Backend], float | None]
 EstimateFillTime = Callable[[routes.Service], float | None]
 # Returns what it costs to leave for the data centre of a server, at least some seconds.
 GetLeavingPrice = Callable[[backends.Backend, float], float]
@@ -57,13 +60,15 @@
 
     `allowed` are rules that hold for the whole life of a call; waiting does not help.
     `room` are limits that leave room again soon, `room_waits` tell when. `own_limit`
-    replaces the count of free slots while entries compete for them.
+    replaces the count of free slots while entries compete for them, `total_limit` does
+    at a server whose agent has just said how many calls it has.
     """
 
     allowed: tuple[Constraint, ...] = ()
     room: tuple[Constraint, ...] = ()
     room_waits: tuple[EstimateRoom, ...] = ()
     own_limit: OwnLimit | None = None
+    total_limit: TotalLimit | None = None
 
 
 class Cost(typing.NamedTuple):
@@ -373,7 +378,7 @@
         engine = service.engine
         if engine is None or answer is None or not answer.is_valid(now):
             return None
-        if not self._has_free_slot(backend, call, service, now):
+        if not self._has_room_by_answer(backend, call, answer, now):
             return None
         first_byte_s = prediction.predict_first_byte_s(
             engine,
@@ -498,6 +503,25 @@
         unread = backend.count_unread_tokens()
         return not unread or unread + call.cost.prompt_tokens <= MAX_UNREAD_TOKENS
 
+    def _has_room_by_answer(
+        self,
+        backend: backends.Backend,
+        call: request.Call,
+        answer: asking.Answer,
+        now: float,
+    ) -> bool:
+        """Return whether a server has room for a call, by its agent's answer."""
+        total_limit = self._constraints.total_limit
+        limit = total_limit(call, backend) if total_limit else None
+        if limit is None:
+            has_slot = self._has_slot_for(backend, call, now)
+        else:
+            has_slot = answer.calls + 1 <= limit
+        if not has_slot or _find_reason(self._constraints.room, call, backend):
+            return False
+        unread = backend.count_unread_tokens()
+        return not unread or unread + call.cost.prompt_tokens <= MAX_UNREAD_TOKENS
+
     def _has_slot_for(
         self, backend: backends.Backend, call: request.Call, now: float
     ) -> bool:
--- a/src/primrosesaddle/overload/comeback.py
+++ b/src/primrosesaddle/overload/comeback.py
@@ -2,13 +2,14 @@
 
 The load is one that lasts for some seconds. Callers that all come back after the same
 time meet each other, and those that come back soon meet the same load. They are spread
-over the middle of the time that they have left, so that enough of it remains.
+over the part of their remaining time for which callers stay away: they come back after
+a third of it at the latest, whatever they are told.
 """
 
 __all__ = ('choose_retry_s',)
 
-EARLIEST_SHARE = 0.35  # of the remaining time of a call
-LATEST_SHARE = 0.65
+EARLIEST_SHARE = 0.26  # of the remaining time of a call
+LATEST_SHARE = 0.33
 MAX_REMAINING_S = 6.0  # that counts; the load may be gone long before a later retry
 MIN_RETRY_S = 0.1  # a retry that is sooner meets the same load
 
--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -115,18 +115,31 @@
         drawn = self._draw(backend)
         if rated.rank >= ranks.LATE and drawn.total > LATE_USE * slots:
             return 0
-        target = rated.targets.get(slots)
-        if target is None:
-            lately = state.recent.list_shares()
-            target = ranks.compute_target(slots, rated.rank, lately)
-            rated.targets[slots] = target
         return shares.compute_own_limit(
             shares.ServerLoad(slots, drawn.total, drawn.own),
-            target,
+            _find_target(rated, slots, state),
             state.fleet.share,
             drawn.draw,
         )
 
+    def limit_all_calls(
+        self, call: request.Call, backend: backends.Backend
+    ) -> float | None:
+        """Return how many calls of all entries a server may have, one more included.
+
+        It is for a server whose load is known as of this moment. Returns None while
+        there is no competition for its service.
+        """
+        service = backend.record.service
+        if not call.model or not self.is_engaged(service):
+            return None
+        state = self._get_state(service)
+        rated = self._rate(call, service, state)
+        slots = backend.record.slots or 1
+        if rated.rank >= ranks.LATE:
+            return LATE_USE * slots
+        return _find_target(rated, slots, state)
+
     def is_engaged(self, service: str) -> bool:
         """Return whether entries compete for the slots of a service."""
         return self.get_use(service) >= ENGAGED_USE
@@ -275,6 +288,16 @@
         self._drawn.pop(backend.server_id, None)
 
 
+def _find_target(rated: _Rated, slots: int, state: _ServiceState) -> float:
+    """Return how many calls a server with these slots should have for a call."""
+    target = rated.targets.get(slots)
+    if target is None:
+        lately = state.recent.list_shares()
+        target = ranks.compute_target(slots, rated.rank, lately)
+        rated.targets[slots] = target
+    return target
+
+
 def _find_figure(backend: backends.Backend, now: float) -> tuple[float, float] | None:
     """Return when a figure of a server came, and its calls; None without a fresh one.
 
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -340,6 +340,7 @@
                 ),
                 allowed=self._restrictions.list_rules(),
                 own_limit=self._room.limit_own_calls,
+                total_limit=self._room.limit_all_calls,
             ),
         )
 
