--- a/src/primrosesaddle/platform/http_applications.py
+++ b/src/primrosesaddle/platform/http_applications.py
@@ -10,7 +10,7 @@
 import msgspec
 from tornado import httputil, iostream
 
-from primrosesaddle.calls import attempts, intake, refusals
+from primrosesaddle.calls import attempts, draining, intake, refusals
 from primrosesaddle.core import futures, verdict
 from primrosesaddle.net import bodies, connections, discarding
 from primrosesaddle.platform import names
@@ -334,7 +334,11 @@
         holding = typing.cast(bodies.Holding, self._holding)
         if not self._is_decided:
             self._decide(len(self._body))
-        if not self._ended and holding.deadline_at <= self._budget.clock():
+        if self._ended or holding.deadline_at > self._budget.clock():
+            return
+        if self._request_intake.leaving:
+            self._refuse_body(draining.make_refusal())
+        else:
             self._refuse_body(verdict.not_run('body_incomplete', STATUS_TIMEOUT))
 
     def _refuse_body(self, refusal: verdict.Refusal) -> None:
