Tests: seeded fuzz of the caller's side with bytes that are almost HTTP

After each: no exception that is not handled, no id in an answer that its connection did not send, nothing held for bodies, an ordinary call answered.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -15,6 +15,7 @@
     'tests/test_config.py',
     'tests/test_weights.py',
     'tests/test_router.py',
+    'tests/test_client_bytes.py',
 )
 DURATION_S = 300.0
 
