Balance: the slowdown of its machine does not count for an engine

Cause: an engine's report states its pace; the fourth figure of its answers says nothing about it. In a play with all answers logged, engines that stated 250 had the first event after 0.193 s and lasted 0.990 s (53 answers), those that stated 100 after 0.204 s and 0.989 s (291).

Change: the slowdown counts for plain services only, where answers that state 250 took 47 ms and others 31 ms. Agents aren't told of it any more, but that machines are shared.

--- a/src/primrosesaddle/balance/book.py
+++ b/src/primrosesaddle/balance/book.py
@@ -8,8 +8,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from primrosesaddle.balance import figures
-
 __all__ = ('Book', 'Load')
 
 REPORT_DELAY_S = 0.2  # a server's report is as of this long ago
@@ -24,14 +22,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """The calls at a server, and the tokens of their prompts that are not read yet.
-
-    `slowdown` is how many times longer than usual work takes on the machine.
-    """
+    """The calls at a server, and the tokens of their prompts that are not read yet."""
 
     calls: int
     unread_tokens: int
-    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,7 +48,6 @@
         self._clock = clock
         self._calls: dict[tuple[str, str], _Booked] = {}
         self._unbooked = 0.0
-        self._figures = figures.Figures()
 
     def add_call(self, entry: str, call_id: str, prompt_tokens: int) -> None:
         """Book a call that an entry sends."""
@@ -73,10 +66,6 @@
             booked.unread_tokens = 0
             booked.ended_at = booked.ended_at or self._clock()
 
-    def record_slowdown(self, slowdown: float) -> None:
-        """Record how slow the machine is, as the server has just told an entry."""
-        self._figures = self._figures.with_slowdown(slowdown, self._clock())
-
     def compare(self, reported_calls: int) -> None:
         """Compare the book with the number of calls that the server reports."""
         now = self._clock()
@@ -101,5 +90,4 @@
         return Load(
             len(running) + round(self._unbooked),
             sum(booked.unread_tokens for booked in running),
-            self._figures.estimate_slowdown(self._clock()),
         )
--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -143,15 +143,6 @@
         is_reported = report is not None and report.is_machine_shared
         return is_reported or self.load.states_slowdown
 
-    def estimate_pace(self, now: float) -> float:
-        """Return how many times longer than by its profile work is expected to take.
-
-        That is what its agent reports, times the slowdown of its machine just now.
-        """
-        report = self.get_fresh_report(now)
-        own_pace = 1.0 if report is None else report.pace
-        return own_pace * self.load.estimate_slowdown(now)
-
     def update_report(self, report: Report) -> None:
         """Store the agent's report, and the load that it states."""
         self.report = report
--- a/src/primrosesaddle/calls/placement.py
+++ b/src/primrosesaddle/calls/placement.py
@@ -465,7 +465,7 @@
         engine = service.engine
         if engine is None:
             work_s = PLAIN_WORK_S * (1 + running / (backend.record.slots or 1))
-            return work_s * backend.estimate_pace(now)
+            return work_s * backend.load.estimate_slowdown(now)
         report = backend.get_fresh_report(now)
         unread = backend.count_unread_tokens() + call.cost.prompt_tokens
         if report is not None:
@@ -473,7 +473,8 @@
                 max(0, report.queued - len(backend.unread_tokens))
                 * engine.usual_prompt_tokens
             )
-        pace = backend.estimate_pace(now)
+        # An engine does not work slower for what its machine does besides.
+        pace = 1.0 if report is None else report.pace
         return prediction.predict_first_byte_s(engine, pace, running, unread)
 
     def get_distance_s(self, backend: backends.Backend) -> float:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -363,14 +363,11 @@
     """How far a call of the sender has come at the server of an agent.
 
     `stage` is `sent`, `read` once the server has read the prompt, or `ended`.
-    `slowdown` is how many times longer than usual work took on the server's machine
-    when its answer began, 0 if it has not just said so.
     """
 
     call_id: str
     stage: str
     prompt_tokens: int = 0
-    slowdown: float = 0.0
 
 
 Body = (
--- a/src/primrosesaddle/process/loadquestions.py
+++ b/src/primrosesaddle/process/loadquestions.py
@@ -17,7 +17,6 @@
 # Agents answer within the round trip, some 10 ms to another region. A call waits this
 # long at most for one that does not.
 ANSWER_TIMEOUT_S = 0.03
-NEW_SLOWDOWN_S = 0.02  # a notice that the prompt is read follows the answer's head
 NOT_ASKED_S = 1.0  # for which an agent that did not answer is not asked again
 
 GetRequiredVersion = Callable[[str], int]
@@ -199,17 +198,10 @@
         service = backend.record.service
         if not self._backends.states_slowdown(service):
             return
-        known = backend.load
-        is_new = self._clock() - known.slowdown_at < NEW_SLOWDOWN_S
         for peer in self._links.members.alive_peers('agent', service):
             if peer.card.server == backend.record.address:
                 peer.channel.send(
-                    wire.CallNotice(
-                        call.call_id,
-                        stage.value,
-                        call.cost.prompt_tokens,
-                        known.slowdown if is_new else 0.0,
-                    )
+                    wire.CallNotice(call.call_id, stage.value, call.cost.prompt_tokens)
                 )
 
 
@@ -228,9 +220,7 @@
             return
         load = calls.estimate_load()
         channel.send(
-            wire.LoadAnswer(
-                True, load.calls, load.unread_tokens, state.pace * load.slowdown
-            ),
+            wire.LoadAnswer(True, load.calls, load.unread_tokens, state.pace),
             rid,
             reply=True,
         )
@@ -238,9 +228,8 @@
     def note(channel: link.Channel, rid: int, body: wire.CallNotice) -> None:
         sender = channel.card.incarnation if channel.card else ''
         stage = backends.CallStage(body.stage)
-        if body.slowdown:
-            calls.record_slowdown(body.slowdown)
-            engine.is_machine_shared = True
+        # Entries send notices only where a server has stated a slowdown.
+        engine.is_machine_shared = True
         if stage is backends.CallStage.SENT:
             calls.add_call(sender, body.call_id, body.prompt_tokens)
         elif stage is backends.CallStage.READ:
