--- a/src/primrosesaddle/calls/admission.py
+++ b/src/primrosesaddle/calls/admission.py
@@ -16,8 +16,6 @@
 RATE_WINDOW_S = 2.0  # over which the rate of granted slots is measured
 # A retry that is too late for its objective waits this long behind all other calls.
 LATE_RETRY_WAIT_S = 0.6
-# While entries compete for slots, it waits longer; callers give up after two seconds.
-LATE_CONTENDED_WAIT_S = 1.5
 # Multiple of the usual answer time that is reserved for a call that waits for servers
 # to be filled: many prompts are read at once where servers have just been filled.
 FINISH_FACTOR = 2.5
@@ -296,9 +294,6 @@
         if not call.spent_s:
             return MIN_WAIT_S
         if ready_s is None:
-            if self._room is not None and self._room.is_engaged(service.name):
-                # It waits for the load to fall, as its caller may have no retry left.
-                return min(LATE_CONTENDED_WAIT_S, remaining_s / 2)
             return min(LATE_RETRY_WAIT_S, remaining_s / 4)
         engine = service.engine
         finish_s = FINISH_FACTOR * engine.usual_answer_s if engine else 0.0
--- a/src/primrosesaddle/overload/comeback.py
+++ b/src/primrosesaddle/overload/comeback.py
@@ -7,8 +7,8 @@
 
 __all__ = ('choose_retry_s',)
 
-EARLIEST_SHARE = 0.35  # of the remaining time of a call
-LATEST_SHARE = 0.65
+EARLIEST_SHARE = 0.25  # of the remaining time of a call
+LATEST_SHARE = 0.55
 MIN_RETRY_S = 0.1  # a retry that is sooner meets the same load
 
 
--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -27,7 +27,7 @@
 # Engines without a figure are taken to be used as the others are, for this time.
 UNSEEN_INTERVAL_S = 0.35
 LOG_INTERVAL_S = 1.0  # between lines about the use of a service
-USE_INTERVAL_S = 0.05  # the use of a service is added up again after this
+USE_INTERVAL_S = 0.1  # the use of a service is added up again after this
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +59,29 @@
     draw: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Placing:
+    """The call that is being placed, and what holds for it at all servers.
+
+    `share` is None if entries do not compete. `targets` are by the slots of a server.
+    """
+
+    call: request.Call
+    since: float
+    share: float | None
+    urgency: ranks.Urgency
+    recent: list[float]
+    targets: dict[int, float]
+
+    def get_target(self, slots: int) -> float:
+        """Return how many calls a server should have, this one included."""
+        target = self.targets.get(slots)
+        if target is None:
+            target = ranks.compute_target(slots, self.urgency, self.recent)
+            self.targets[slots] = target
+        return target
+
+
 class Control:
     """Limits the calls of this entry at each server while entries compete for slots."""
 
@@ -83,6 +106,7 @@
         self._counters = counters
         self._services: dict[str, _ServiceState] = {}
         self._drawn: dict[str, _Drawn] = {}
+        self._placing: _Placing | None = None
         known_backends.removal_listeners.append(self._forget_server)
 
     def limit_own_calls(
@@ -92,19 +116,20 @@
 
         Returns None while there is no competition for its service, or no figure of it.
         """
-        service = backend.record.service
-        if not call.model or not self.is_engaged(service):
+        if not call.model:
+            return None
+        now = self._clock()
+        placing = self._begin_placing(call, backend.record.service, now)
+        if placing.share is None:
             return None
-        urgency = self.find_urgency(call, service)
         slots = backend.record.slots or 1
-        drawn = self._draw(backend)
-        if urgency is ranks.Urgency.LATE and drawn.total > LATE_USE * slots:
+        drawn = self._draw(backend, now)
+        if placing.urgency is ranks.Urgency.LATE and drawn.total > LATE_USE * slots:
             return 0
-        state = self._get_state(service)
         return shares.compute_own_limit(
             shares.ServerLoad(slots, drawn.total, drawn.own),
-            ranks.compute_target(slots, urgency, state.recent.list_shares()),
-            state.fleet.share,
+            placing.get_target(slots),
+            placing.share,
             drawn.draw,
         )
 
@@ -227,9 +252,26 @@
             for model, span in held.items()
         )
 
-    def _draw(self, backend: backends.Backend) -> _Drawn:
+    def _begin_placing(self, call: request.Call, service: str, now: float) -> _Placing:
+        """Return what is the same for all servers that a call may be placed at."""
+        placing = self._placing
+        is_same = placing is not None and placing.call is call
+        if placing is not None and is_same and now - placing.since < USE_INTERVAL_S:
+            return placing
+        is_engaged = self.is_engaged(service)
+        state = self._get_state(service)
+        self._placing = _Placing(
+            call,
+            now,
+            state.fleet.share if is_engaged else None,
+            self.find_urgency(call, service),
+            state.recent.list_shares(),
+            {},
+        )
+        return self._placing
+
+    def _draw(self, backend: backends.Backend, now: float) -> _Drawn:
         """Return the newest figure of a server, drawn for when it came."""
-        now = self._clock()
         figure = _find_figure(backend, now)
         if figure is None:
             use = self.get_use(backend.record.service)
--- a/src/primrosesaddle/overload/ranks.py
+++ b/src/primrosesaddle/overload/ranks.py
@@ -21,9 +21,9 @@
 URGENT_QUEUED_CALLS = (
     3.0  # more of these, while there are less urgent calls to overtake
 )
-# Slots that calls leave free for each more urgent class. A quarter of a full server's
-# calls ends within 0.4 s, a short objective.
-FREE_SLOTS_PER_CLASS = 0.25
+# Part of the slots that calls leave free for each more urgent class: what ends within
+# 0.4 s, a short objective, where a call takes 1.4 s.
+FREE_SLOTS_PER_CLASS = 0.3
 # A class with this share of the calls counts fully; slots are not kept for a rare one.
 FULL_SHARE = 0.1
 HALF_LIFE_S = 1.0  # of the memory of calls that came; the load changes within 2 s
