--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,5 +1,6 @@
 """Too little room for all calls: entries that share engines, in virtual time."""
 
+import asyncio
 import dataclasses
 import random
 
@@ -8,7 +9,7 @@
 from testtools import assertions, matchers
 
 import enginestand as stand
-from primrosesaddle.calls import backends
+from primrosesaddle.calls import admission, backends, placement
 from primrosesaddle.core import layers
 from primrosesaddle.fleet import servers
 from primrosesaddle.overload import comeback, control, floors, ranks, shares
@@ -121,7 +122,7 @@
 
 @pytest.fixture
 def engines():
-    """Return a control, and a function that sets how many calls run at two engines."""
+    """Return a control, a function that sets the load of two engines, and its parts."""
     now = [10.0]
     known = backends.Backends(lambda: now[0])
     models = {stand.MODEL: layers.Span(0, 4, 1)}
@@ -141,26 +142,26 @@
             known.update_report(f'{name}:1', report)
         return known.get_by_id('a')
 
-    return room, set_load
+    return room, set_load, known, lambda: now[0]
 
 
 def test_nothing_is_limited_while_half_of_the_slots_are_free(engines):
     """Callers are not held back, let alone refused, while there is room."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     limit = room.limit_own_calls(stand.make_call(), set_load(5))
     assertions.assert_that(limit, matchers.Is(None))
 
 
 def test_servers_that_hold_no_allowed_version_are_no_room(engines):
     """While most servers load a new version, the others are full at a small use."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     set_load(12, loading=('b',))
     assertions.assert_that(room.get_use('engines'), matchers.Equals(1.0))
 
 
 def test_an_entry_without_fresh_reports_decides_by_its_own_counts(engines):
     """An entry that is cut off would keep the limit of the last report for ever."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     backend = set_load(12, age_s=backends.LOAD_STALE_S + 0.1)
     limit = room.limit_own_calls(stand.make_call(), backend)
     assertions.assert_that(limit, matchers.Is(None))
@@ -168,7 +169,7 @@
 
 def test_loads_in_answers_stand_for_missing_reports(engines):
     """After a restart of all processes, agents are not linked for some seconds."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     backend = set_load(0, age_s=backends.REPORT_STALE_S + 0.1)
     backend.update_load(20, backend.report.received_at + 0.9)
     call = stand.make_call()
@@ -180,7 +181,7 @@
 
 def test_a_late_retry_takes_no_slot_that_a_call_in_time_needs(engines):
     """A late answer takes the room of one that would be in time."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     retry = stand.make_call(spent_s=2.0)
     limit = room.limit_own_calls(retry, set_load(11))
     assertions.assert_that(limit, matchers.Equals(0))
@@ -188,7 +189,7 @@
 
 def test_a_call_of_a_route_that_is_behind_goes_with_the_most_urgent(engines):
     """The least urgent route would be starved by a flood of urgent calls."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     set_load(12)
     route = dataclasses.replace(stand.ROUTE, name='rare', rank=2)
     starved = stand.make_call(route=route, rank=8)
@@ -202,7 +203,7 @@
 
 def test_an_urgent_route_goes_before_a_deferrable_one_of_a_higher_workspace(engines):
     """A call that cannot wait was refused behind calls that could wait longer."""
-    room, set_load = engines
+    room, set_load, _, _ = engines
     set_load(12)
     deferrable = stand.make_call(
         route=dataclasses.replace(stand.ROUTE, name='deferrable', rank=2), rank=2
@@ -212,3 +213,36 @@
         room.find_queue_rank(urgent, 'engines'),
         matchers.LessThan(room.find_queue_rank(deferrable, 'engines')),
     )
+
+
+def test_a_refusal_tells_what_decided_it_and_counts_it(engines):
+    """Operators could not tell a lack of room from a preference for other calls."""
+    room, set_load, known, clock = engines
+    set_load(12)
+    placer = placement.Placer(
+        known,
+        'd1',
+        {},
+        random.Random(1),
+        clock,
+        stand.no_fill_estimate,
+        placement.Constraints(own_limit=room.limit_own_calls),
+    )
+    queue = admission.Admission(placer, lambda model: 1, clock, room)
+    now = clock()
+    call = stand.make_call(
+        route=stand.ROUTE_WITH_SHORT_OBJECTIVE, arrived_at=now, deadline_at=now + 6.0
+    )
+
+    async def ask():
+        waiting = asyncio.create_task(queue.acquire_slot(call, stand.SERVICE))
+        granting = asyncio.create_task(queue.run())
+        await asyncio.sleep(0)
+        set_load(12)  # a second later
+        await asyncio.wait([waiting])
+        granting.cancel()
+        return waiting.exception()
+
+    refusal = asyncio.run(ask())
+    assertions.assert_that(refusal.reason, matchers.Contains('decided_by=use use=1.0'))
+    assertions.assert_that(refusal.retry_after_s, matchers.GreaterThan(1.0))
