--- a/src/primrosesaddle/overload/ranks.py
+++ b/src/primrosesaddle/overload/ranks.py
@@ -20,11 +20,12 @@
 # More of these, while there are less urgent calls to overtake; few slots rarely end.
 URGENT_QUEUED_CALLS = 3.0
 URGENT_QUEUED_SHARE = 0.25  # of the slots of a server, at most that many
-# Slots that calls leave free for each more urgent rank. A quarter of a full server's
-# calls ends within 0.4 s, a short objective.
-FREE_SLOTS_PER_RANK = 0.25
-# Slots that calls of any rank leave free at most; with more ranks, each has less.
-MAX_FREE_SLOTS = 0.5
+# Part of the slots that calls leave free for each more urgent rank: what ends within
+# 0.4 s, a short objective, where a call takes 1.4 s.
+FREE_SLOTS_PER_RANK = 0.3
+# Part that the last rank leaves free at most, as with three ranks; with more of them
+# each has less.
+MAX_FREE_SLOTS = 0.6
 # A rank with this share of the calls counts fully; slots are not kept for a rare one.
 FULL_SHARE = 0.1
 HALF_LIFE_S = 1.0  # of the memory of calls that came; the load changes within 2 s
