--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -27,7 +27,7 @@
 # Engines without a figure are taken to be used as the others are, for this time.
 UNSEEN_INTERVAL_S = 0.35
 LOG_INTERVAL_S = 1.0  # between lines about the use of a service
-USE_INTERVAL_S = 0.05  # the use of a service is added up again after this
+USE_INTERVAL_S = 0.1  # the use of a service is added up again after this
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,17 +60,28 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Rated:
-    """The rank of a call as of when its service's use was added up.
+class _Placing:
+    """The call that is being placed, and what holds for it at all servers.
 
-    `targets` holds those of servers by their slots.
+    `share` is None if entries do not compete. `targets` are by the slots of a server.
     """
 
-    call_id: str
-    added_at: float
+    call: request.Call
+    service: str
+    since: float
+    share: float | None
     rank: int
+    recent: list[float]
     targets: dict[int, float]
 
+    def get_target(self, slots: int) -> float:
+        """Return how many calls a server should have, this one included."""
+        target = self.targets.get(slots)
+        if target is None:
+            target = ranks.compute_target(slots, self.rank, self.recent)
+            self.targets[slots] = target
+        return target
+
 
 class Control:
     """Limits the calls of this entry at each server while entries compete for slots."""
@@ -96,7 +107,7 @@
         self._counters = counters
         self._services: dict[str, _ServiceState] = {}
         self._drawn: dict[str, _Drawn] = {}
-        self._rated: _Rated | None = None
+        self._placing: _Placing | None = None
         known_backends.removal_listeners.append(self._forget_server)
 
     def limit_own_calls(
@@ -106,19 +117,20 @@
 
         Returns None while there is no competition for its service, or no figure of it.
         """
-        service = backend.record.service
-        if not call.model or not self.is_engaged(service):
+        if not call.model:
+            return None
+        now = self._clock()
+        placing = self._begin_placing(call, backend.record.service, now)
+        if placing.share is None:
             return None
-        state = self._get_state(service)
-        rated = self._rate(call, service, state)
         slots = backend.record.slots or 1
-        drawn = self._draw(backend)
-        if rated.rank >= ranks.LATE and drawn.total > LATE_USE * slots:
+        drawn = self._draw(backend, now)
+        if placing.rank >= ranks.LATE and drawn.total > LATE_USE * slots:
             return 0
         return shares.compute_own_limit(
             shares.ServerLoad(slots, drawn.total, drawn.own),
-            _find_target(rated, slots, state),
-            state.fleet.share,
+            placing.get_target(slots),
+            placing.share,
             drawn.draw,
         )
 
@@ -130,15 +142,15 @@
         It is for a server whose load is known as of this moment. Returns None while
         there is no competition for its service.
         """
-        service = backend.record.service
-        if not call.model or not self.is_engaged(service):
+        if not call.model:
+            return None
+        placing = self._begin_placing(call, backend.record.service, self._clock())
+        if placing.share is None:
             return None
-        state = self._get_state(service)
-        rated = self._rate(call, service, state)
         slots = backend.record.slots or 1
-        if rated.rank >= ranks.LATE:
+        if placing.rank >= ranks.LATE:
             return LATE_USE * slots
-        return _find_target(rated, slots, state)
+        return placing.get_target(slots)
 
     def is_engaged(self, service: str) -> bool:
         """Return whether entries compete for the slots of a service."""
@@ -177,7 +189,7 @@
 
     def record_arrival(self, call: request.Call, service: str) -> None:
         """Record a call that asks for a slot."""
-        self._rated = None
+        self._placing = None
         if not call.tried and not call.is_late_retry:
             self._get_state(service).recent.record(call.rank, self._clock())
 
@@ -246,21 +258,31 @@
             for model, span in held.items()
         )
 
-    def _rate(self, call: request.Call, service: str, state: _ServiceState) -> _Rated:
-        """Return the rank of a call, found once while all servers are considered."""
-        rated = self._rated
+    def _begin_placing(self, call: request.Call, service: str, now: float) -> _Placing:
+        """Return what is the same for all servers that a call may be placed at."""
+        placing = self._placing
         if (
-            rated is None
-            or rated.call_id != call.call_id
-            or rated.added_at != state.added_at
+            placing is not None
+            and placing.call is call
+            and placing.service == service
+            and now - placing.since < USE_INTERVAL_S
         ):
-            rank = self.find_rank(call, service)
-            rated = self._rated = _Rated(call.call_id, state.added_at, rank, {})
-        return rated
+            return placing
+        is_engaged = self.is_engaged(service)
+        state = self._get_state(service)
+        self._placing = _Placing(
+            call,
+            service,
+            now,
+            state.fleet.share if is_engaged else None,
+            self.find_rank(call, service),
+            state.recent.list_shares(),
+            {},
+        )
+        return self._placing
 
-    def _draw(self, backend: backends.Backend) -> _Drawn:
+    def _draw(self, backend: backends.Backend, now: float) -> _Drawn:
         """Return the newest figure of a server, drawn for when it came."""
-        now = self._clock()
         figure = _find_figure(backend, now)
         if figure is None:
             use = self.get_use(backend.record.service)
@@ -288,16 +310,6 @@
         self._drawn.pop(backend.server_id, None)
 
 
-def _find_target(rated: _Rated, slots: int, state: _ServiceState) -> float:
-    """Return how many calls a server with these slots should have for a call."""
-    target = rated.targets.get(slots)
-    if target is None:
-        lately = state.recent.list_shares()
-        target = ranks.compute_target(slots, rated.rank, lately)
-        rated.targets[slots] = target
-    return target
-
-
 def _find_figure(backend: backends.Backend, now: float) -> tuple[float, float] | None:
     """Return when a figure of a server came, and its calls; None without a fresh one.
 
