Version ages: one found by a late first read is assumed to be older

Cause: an entry that starts takes the age of a version that it finds announced to be the bound less the time until it counts as in touch, as of its first read. Change: what passed between the start and the first read counts as well.

--- a/src/primrosesaddle/staging/versionages.py
+++ b/src/primrosesaddle/staging/versionages.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 
 from primrosesaddle.staging import pieces
@@ -45,10 +46,12 @@
         """Create an empty record.
 
         `assumed_age_s` is the highest age that is assumed for a version announced
-        while this process was not watching. The clock has to advance while the
-        machine is suspended.
+        while this process was not watching. One that was announced before this process
+        began to watch may be older by as long as that took. The clock has to advance
+        while the machine is suspended.
         """
         self._clock = clock
+        self._created_at = clock()
         self._assumed_age_s = assumed_age_s
         self._newest: dict[str, int] = {}
         self._announcements: dict[str, dict[int, Announcement]] = (
@@ -68,12 +71,15 @@
         """Record a published version, and return whether it is the newest so far.
 
         `unseen_s` is for how long this process had not been watching before, 0 if it
-        saw the announcement.
+        saw the announcement, infinite if it had not begun to watch.
         """
         if version.number <= self.get_newest(version.model):
             return False
         self._newest[version.model] = version.number
-        age_s = min(unseen_s, self._assumed_age_s)
+        max_age_s = self._assumed_age_s
+        if math.isinf(unseen_s):
+            max_age_s += self._clock() - self._created_at
+        age_s = min(unseen_s, max_age_s)
         self._merge(version, Announcement(self._clock() - age_s, is_known=not unseen_s))
         if not unseen_s:
             for listener in self.listeners:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -170,6 +170,19 @@
     _assert_equal(view.version_ages.get_required_version('m', 8.0), 3)
 
 
+def test_late_first_read_makes_the_assumed_age_higher(view, clock):
+    """The version may have been announced just before this process started.
+
+    All processes were killed and entries read the store four seconds after their start:
+    an age as of the start let calls begin on the older version past its bound.
+    """
+    clock.now += 2.5
+    view.apply_snapshot(fleetview.Snapshot([_version_item(3, 4)], 9), 'store')
+    _assert_equal(view.version_ages.get_required_version('m', 8.0), 0)
+    clock.now += 0.5
+    _assert_equal(view.version_ages.get_required_version('m', 8.0), 3)
+
+
 def test_version_in_a_later_read_is_new(view, clock):
     """A process that was up to date takes a new version for just announced."""
     view.apply_snapshot(fleetview.Snapshot([], 1), 'store')
