--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -214,7 +214,7 @@
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> Seen:
     """Read one request."""
-    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1').split('\r\n')
+    head = (await reader.readuntil(b'\r\n\r\n')).decode(errors='replace').split('\r\n')
     headers = {}
     for line in head[1:]:
         name, _, text = line.partition(':')
@@ -549,7 +549,7 @@
 
 async def read_answer(reader: asyncio.StreamReader) -> Got:
     """Read one answer to its end, or to where it breaks off."""
-    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1').split('\r\n')
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().split('\r\n')
     headers = {}
     for line in head[1:]:
         name, _, text = line.partition(':')
