Room: shared only where entries are more than the slots of a server

Change: entries share room where the largest number of them that was known exceeds the slots of a server.

--- a/src/primrosesaddle/overload/control.py
+++ b/src/primrosesaddle/overload/control.py
@@ -108,6 +108,7 @@
         self._services: dict[str, _ServiceState] = {}
         self._drawn: dict[str, _Drawn] = {}
         self._placing: _Placing | None = None
+        self._most_entries = 0
         known_backends.removal_listeners.append(self._forget_server)
 
     def limit_own_calls(
@@ -153,8 +154,14 @@
         return placing.get_target(slots)
 
     def is_engaged(self, service: str) -> bool:
-        """Return whether entries compete for the slots of a service."""
-        return self.get_use(service) >= ENGAGED_USE
+        """Return whether entries compete for the slots of a service.
+
+        They do while enough of the slots are in use, and where entries are more than
+        the slots of a server: where they are fewer, each has a slot or more of its own
+        there, and does better by its own counts.
+        """
+        is_used = self.get_use(service) >= ENGAGED_USE
+        return is_used and self._get_state(service).fleet.is_divided
 
     def get_use(self, service: str) -> float:
         """Return the use of the slots of a service, by the newest figures."""
@@ -231,11 +238,12 @@
             if figure is not None and self._serves(backend, now):
                 slots = backend.record.slots or 1
                 loads.append(shares.ServerLoad(slots, figure[1], len(backend.calls)))
-        return shares.add_loads(loads, self._count_entries())
+        self._most_entries = max(self._most_entries, self._count_entries())
+        return shares.add_loads(loads, self._count_entries(), self._most_entries)
 
     def _log_contention(self, service: str, state: _ServiceState, now: float) -> None:
         """Log that entries begin or cease to compete, not more than once a second."""
-        is_contended = state.fleet.use >= ENGAGED_USE
+        is_contended = state.fleet.is_divided and state.fleet.use >= ENGAGED_USE
         since_s = now - state.logged_at
         if is_contended == state.is_contended or since_s < LOG_INTERVAL_S:
             return
--- a/src/primrosesaddle/overload/shares.py
+++ b/src/primrosesaddle/overload/shares.py
@@ -31,27 +31,34 @@
     """The use of a service by all entries.
 
     `use` is the number of calls that run or wait at its servers over the number of
-    their slots, `share` the part of it that is this entry's.
+    their slots, `share` the part of it that is this entry's. `is_divided` is whether
+    there have been more entries than the slots of a server.
     """
 
     use: float = 0.0
     share: float = 1.0
+    is_divided: bool = False
 
 
-def add_loads(loads: Iterable[ServerLoad], entry_count: int) -> FleetUse:
+def add_loads(
+    loads: Iterable[ServerLoad], entry_count: int, most_entries: int
+) -> FleetUse:
     """Return the use of servers that `entry_count` entries share.
 
-    An entry with few calls gets as much of what is free as an equal share.
+    `most_entries` is the largest number of entries that was known. An entry with few
+    calls gets as much of what is free as an equal share.
     """
-    slots = own = 0
+    slots = own = most_slots = 0
     total = 0.0
     for load in loads:
         slots += load.slots
+        most_slots = max(most_slots, load.slots)
         total += load.total
         own += load.own
     equal = 1 / max(1, entry_count)
     share = max(equal, own / total) if total else equal
-    return FleetUse(total / slots if slots else 0.0, min(1.0, share))
+    is_divided = 0 < most_slots < most_entries
+    return FleetUse(total / slots if slots else 0.0, min(1.0, share), is_divided)
 
 
 def compute_own_limit(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -208,6 +208,25 @@
     return room, set_load, known, lambda: now[0]
 
 
+@pytest.mark.parametrize(
+    ('entries', 'is_engaged'), [(4, False), (12, False), (13, True)]
+)
+def test_room_is_shared_where_entries_are_more_than_the_slots_of_a_server(
+    entries, is_engaged
+):
+    """A few entries were late and refused more often by shares than by own counts."""
+    known = backends.Backends(lambda: 10.0)
+    models = {stand.MODEL: layers.Span(0, 4, 1)}
+    known.update_records(
+        [servers.BackendServer('a', 'engines', 'a:1', 'd1', 12, False, models)]
+    )
+    known.update_report('a:1', backends.Report(10.0, 12, 0, models, False))
+    room = control.Control(
+        known, lambda: entries, random.Random(1), lambda: 10.0, lambda model: 1
+    )
+    assertions.assert_that(room.is_engaged('engines'), matchers.Equals(is_engaged))
+
+
 def test_nothing_is_limited_while_half_of_the_slots_are_free(engines):
     """Callers are not held back, let alone refused, while there is room."""
     room, set_load, _, _ = engines
