Answers: a server's 408, 429 or 503 is no promise unless it proves it

The entry passed the 503 on, callers take it for a promise that the call did not run, and the booking was made twice.

Cause: the verdict of an attempt (ran) was not compared with what its status tells the caller. Evidence: the log of the entry has one line, call.answered status=503 with one server tried and verdict=ran, so neither a retry nor a refusal of the entry.

Change: platform/wire.py knows the statuses that callers take for a promise; such an answer without the server's word is a failure that is never passed on. A call that may run once ends with 502 of the entry's own, a repeatable one goes to another server.

--- a/src/primrosesaddle/calls/attempts.py
+++ b/src/primrosesaddle/calls/attempts.py
@@ -35,6 +35,8 @@
     is whether the server says that it is leaving. `quiet_s` is for how many seconds a
     server that refuses the call wants no calls, NaN for an unreadable time, 0 for none.
     `ends_at_close` is whether only the end of the connection ends the body.
+    `promises_not_run` is whether callers take the status for a promise that the call
+    did not run, which a server may give to calls that it has run.
     """
 
     status: int
@@ -48,6 +50,12 @@
     leaving: bool = False
     quiet_s: float = 0.0
     ends_at_close: bool = False
+    promises_not_run: bool = False
+
+    @property
+    def misleads_callers(self) -> bool:
+        """Whether callers would take a call that may have run for one that did not."""
+        return self.promises_not_run and not self.not_run
 
     @property
     def media_type(self) -> str:
@@ -181,7 +189,8 @@
     @property
     def has_failed(self) -> bool:
         """Whether the answer reports an error of the server."""
-        return self.head is not None and self.head.status >= 500
+        head = self.head
+        return head is not None and (head.status >= 500 or head.misleads_callers)
 
     @property
     def is_stream(self) -> bool:
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -439,11 +439,14 @@
     def _is_acceptable(self, attempt: attempts.Attempt, contest: race.Race) -> bool:
         """Return whether a signed answer may be the final one of a call.
 
-        Nothing but a stream may follow a part of a stream.
+        Nothing but a stream may follow a part of a stream, and no caller is promised
+        that a call did not run unless its server says so.
         """
         call = attempt.call
         if call.answer_started:
             return attempt.is_stream
+        if attempt.head is not None and attempt.head.misleads_callers:
+            return False
         may_go_on = call.route.repeatable and (
             contest.has_others(attempt) or call.can_send_again(self._clock())
         )
--- a/src/primrosesaddle/platform/wire.py
+++ b/src/primrosesaddle/platform/wire.py
@@ -18,6 +18,9 @@
 _SLOWDOWN_INDEX = 3  # in the load header, after running, waiting and slots
 _NO_SLOWDOWN = 100  # stated by a machine on which work takes as long as usual
 REFUSAL_STATUSES = frozenset((429, 503))
+# Callers take these for a promise that the request did not run. A server keeps that
+# promise only where it says so in a header; 421 always does.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 def request_headers(
@@ -73,6 +76,7 @@
         leaving=is_leaving(headers),
         quiet_s=_parse_quiet_s(headers) if head.status in REFUSAL_STATUSES else 0.0,
         ends_at_close=head.ends_at_close,
+        promises_not_run=head.status in NOT_RUN_STATUSES,
     )
 
 
