Chat: an engine's error status is no promise that a call did not run

The cause of the booking made twice, on a related path: whatever status other than 200 an engine answered, the agent refused the call as not_run, also where the engine had worked on it (500, 503, 429, 408).

Change: not_run only for the statuses by which an engine refuses a call before it begins (400, 404, 409, 422); any other is 502 may_have_run. The stand-in engine has a fault error_status: it runs the call, then answers that status.

Measured: test_error_of_an_engine_that_ran_a_call_is_no_promise, 4 of 4 failed before (503 not_run), none now.

--- a/demo/standins/engine.py
+++ b/demo/standins/engine.py
@@ -85,6 +85,7 @@
             slow_factor=1.0,
             hang=False,
             down=False,
+            error_status=0,
         )
         self.incarnation = uuid.uuid4().hex[:8]
         self.checks_fencing = checks_fencing
@@ -273,6 +274,8 @@
         while engine.faults.hang:
             await asyncio.sleep(0.05)
         await asyncio.sleep(engine.faults.late_s + engine.prefill_s(prompt))
+        if engine.faults.error_status:
+            raise web.HTTPError(engine.faults.error_status)
         self.set_header('Content-Type', 'text/event-stream')
         text = '{0}.{1}'.format(
             version[:VERSION_LETTERS],
--- a/src/primrosesaddle/gateway/chat.py
+++ b/src/primrosesaddle/gateway/chat.py
@@ -100,11 +100,17 @@
         )
 
     def _engine_refusal_of(self, status: int, body: bytes) -> verdict.Refusal:
-        """Return the refusal for an error status of the engine."""
+        """Return the refusal for an error status of the engine.
+
+        Of those that an engine may also give to a call that it has begun to run, none
+        is taken for a promise that it did not.
+        """
         if status in {400, 404, 422}:
             reason = body[:200].decode(errors='replace')
             return verdict.not_run(f'engine_refused: {reason}', status)
-        return verdict.not_run(f'engine_status_{status}', 503, 0.5)
+        if status == 409:
+            return verdict.not_run(f'engine_status_{status}', 503, 0.5)
+        return verdict.may_have_run(f'engine_status_{status}')
 
     def _refusal_of(
         self, scheduled: scheduler.ScheduledCall, exc: Exception
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -78,6 +78,22 @@
     in_cluster(body)
 
 
+@pytest.mark.parametrize('status', [408, 429, 500, 503])
+def test_error_of_an_engine_that_ran_a_call_is_no_promise(in_cluster, status):
+    """Guards against `not_run` for a call on which an engine has worked."""
+
+    async def body(fleet):
+        for engine in fleet.engines.values():
+            engine.faults.put({'error_status': status})
+        answer = await fleet.ask('entry-1')
+        assertions.assert_that(answer.code, matchers.Equals(502))
+        assertions.assert_that(
+            support.verdict_of(answer), matchers.Equals('may_have_run')
+        )
+
+    in_cluster(body)
+
+
 def test_repeated_events_are_dropped(in_cluster):
     """An engine that repeats events must not duplicate words of the answer."""
 
