Crashes: a part that ends the only server again and again is blocked

Cause: a part was accused only of the ends of two servers, by id, as a single server may be at fault itself. That it works on other calls after each start was not weighed. Evidence: the entries log server.ended for each end and part.suspected with count 2, 3, 4 and so on, and never part.blocked, so ends are found and told apart, and only the accusation is missing.

Change: entries remember which starts of servers have worked on calls, and crash reports carry it. A part that was never answered is accused of five ends of one server, in half or more of the ends since its first, if two of those starts had worked. After two ends such a call is kept from a start that has not worked yet, so that the next end shows whose fault it is. A server that ends by itself accuses nobody, as before.

--- a/src/primrosesaddle/calls/crashes.py
+++ b/src/primrosesaddle/calls/crashes.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 import functools
-import math
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from primrosesaddle.calls import evidence, notices
@@ -36,11 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
-    """A server that ended `age_s` ago, and the parts of calls it had just begun."""
+    """A server that ended `age_s` ago, and the parts of calls it had just begun.
+
+    `had_worked` is whether it had worked on other calls since its start.
+    """
 
     incarnation: notices.Incarnation
     parts: tuple[str, ...]
     age_s: float
+    had_worked: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,6 +200,22 @@
         self._decide(source)
         return told
 
+    def record_working(self, incarnation: notices.Incarnation) -> bool:
+        """Record a server that answers a call, or is past the answer's beginning.
+
+        Return whether its end was known, so that other entries have to be told.
+        """
+        is_new = self._evidence.add_working(incarnation)
+        self._decide('own')
+        return is_new
+
+    def awaits_work(
+        self, parts: Iterable[str], incarnation: notices.Incarnation
+    ) -> bool:
+        """Return whether a server first has to work on calls without these parts."""
+        now = self._clock()
+        return any(self._evidence.awaits_work(part, incarnation, now) for part in parts)
+
     @property
     def block_count(self) -> int:
         """The number of blocked parts."""
@@ -267,17 +286,11 @@
             self._log_suspects(self._suspects.difference(self._blocks))
         until = self._clock() - min_age_s
         return any(
-            part in self._blocks or self._get_first_crash_at(part) <= until
+            part in self._blocks or self._evidence.get_first_crash_at(part) <= until
             for part in parts
             if part in self._suspects
         )
 
-    def _get_first_crash_at(self, part: str) -> float:
-        uncleared = self._evidence.get_uncleared(part)
-        return min(
-            (self._evidence.crashes[each].at for each in uncleared), default=math.inf
-        )
-
     def export_crash(self, incarnation: notices.Incarnation) -> Facts:
         """Return a crash, and when its parts were last answered, for other entries.
 
@@ -290,7 +303,7 @@
         parts = tuple(sorted(crash.parts))
         answers = ((part, self._evidence.get_answered_at(part)) for part in parts)
         return Facts(
-            (Crash(incarnation, parts, now - crash.at),),
+            (Crash(incarnation, parts, now - crash.at, crash.had_worked),),
             tuple(
                 Clearance(part, now - at) for part, at in answers if at > evidence.NEVER
             ),
@@ -303,7 +316,12 @@
         self._decide('own')
         return Facts(
             tuple(
-                Crash(incarnation, tuple(sorted(crash.parts)), now - crash.at)
+                Crash(
+                    incarnation,
+                    tuple(sorted(crash.parts)),
+                    now - crash.at,
+                    crash.had_worked,
+                )
                 for incarnation, crash in self._evidence.crashes.items()
             ),
             tuple(
@@ -345,7 +363,9 @@
         if at <= self._clock() - evidence.WINDOW_S:
             return False
         before = self._evidence.crashes.get(told.incarnation)
-        if not self._evidence.add_crash(told.incarnation, told.parts, at):
+        if not self._evidence.add_crash(
+            told.incarnation, told.parts, at, had_worked=told.had_worked
+        ):
             return False
         after = self._evidence.crashes[told.incarnation]
         for block in self._blocks.values():
@@ -354,6 +374,7 @@
         return (
             before is None
             or before.parts != after.parts
+            or before.had_worked != after.had_worked
             or before.at - after.at > MAX_REPORT_DELAY_S
         )
 
@@ -413,10 +434,9 @@
         self._blocks[part] = block
         _log('part.blocked', part, block, self._clock())
         if len(self._blocks) > MAX_BLOCKS:
-            self._forget_block(min(self._blocks, key=self._get_block_order))
-
-    def _get_block_order(self, part: str) -> tuple[float, str]:
-        return (self._blocks[part].at, part)
+            self._forget_block(
+                min(self._blocks, key=lambda each: (self._blocks[each].at, each))
+            )
 
     def _forget_block(self, part: str) -> None:
         _log('part.forgotten', part, self._blocks.pop(part), self._clock())
--- a/src/primrosesaddle/calls/crashwatch.py
+++ b/src/primrosesaddle/calls/crashwatch.py
@@ -104,6 +104,19 @@
             call.is_trial = True
             self._counts.count('part_trials')
 
+    def is_withheld(self, call: request.Call, backend: backends.Backend) -> bool:
+        """Return whether a call that may end a server is kept from it for now.
+
+        It is until the server has worked on other calls since its start, which tells
+        whether the call or the server is at fault.
+        """
+        if call.is_trial or not call.parts:
+            return False
+        is_withheld = self._history.awaits_work(call.parts, backend.incarnation)
+        if is_withheld:
+            self._counts.count('calls_withheld')
+        return is_withheld
+
     def check_may_repeat(self, call: request.Call) -> None:
         """Raise `verdict.Refusal` if a repeat of a call may end one more server.
 
@@ -124,7 +137,10 @@
         if not parts:
             return
         is_complete = attempt.is_complete and _is_success(attempt)
-        if ended_by_server and attempt.splitter.event_count < EARLY_EVENTS:
+        is_early = attempt.splitter.event_count < EARLY_EVENTS
+        if not is_early or (is_complete and not ended_by_server):
+            self._record_working(attempt.choice.backend.incarnation)
+        if ended_by_server and is_early:
             self._suspect(attempt.choice.backend, parts, is_complete=is_complete)
             if not is_complete:
                 attempt.call.was_cut_off = True
@@ -226,8 +242,15 @@
     ) -> None:
         age_s = self._clock() - self._ended_at[incarnation]
         if self._history.record_crash(incarnation, parts, age_s):
-            for listener in self.crash_listeners:
-                listener(incarnation)
+            self._tell_crash(incarnation)
+
+    def _record_working(self, incarnation: notices.Incarnation) -> None:
+        if self._history.record_working(incarnation):
+            self._tell_crash(incarnation)
+
+    def _tell_crash(self, incarnation: notices.Incarnation) -> None:
+        for listener in self.crash_listeners:
+            listener(incarnation)
 
     def _record_sound(self, parts: tuple[str, ...], age_s: float) -> None:
         cleared = self._history.record_sound(parts, age_s)
--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -3,10 +3,15 @@
 A part that crashes servers is in each of its crashes and is never answered completely.
 The other parts of its calls are shared with calls that are answered, and each of those
 answers clears them of the crashes before it. Times are in seconds of a steady clock.
+
+Where only one server can take the calls with a part, it may be the server that is at
+fault. It is not if it works on other calls after each start, until one with the part
+comes.
 """
 
 import collections
 import dataclasses
+import math
 from collections.abc import Collection, Iterable, Mapping
 
 import xxhash
@@ -21,7 +26,8 @@
 # call, such as a power loss. Longer moments would also hold crashes by frequent calls.
 MOMENT_S = 0.2
 MIN_CRASHES = 3  # that no answer has cleared, until a part is accused
-# For a part that was answered before, and for parts that occurred only together.
+# For a part that was answered before, for one that ends a single server, and for parts
+# that occurred only together.
 MIN_CRASHES_IN_DOUBT = 5
 # A part is not accused of crashes up to this long after its last answer: when most
 # servers are down, nothing with it may be answered for some seconds.
@@ -31,9 +37,18 @@
 # as the first part of all prompts of a workspace: for it, a moment counts once.
 MAX_CRASHES_OF_MOMENT = 2
 MIN_SHARED_CRASHES = 2  # of a part and a rival, and half of the crashes of the part
-MIN_SERVERS = 2  # a single server that ends again and again is at fault itself
+MIN_SERVERS = 2  # fewer may be at fault themselves, see `_ends_sound_server`
+# Ended starts of a single server that had worked on calls. One of them may have been
+# before the server broke.
+MIN_WORKING_STARTS = 2
+MIN_SHARE_OF_ENDS = 0.5  # of the ends of a single server since the first with the part
+
+MIN_ENDS_TO_WITHHOLD = 2  # of a server under calls with a part
+# Since the newest end, after which such calls are sent to a server without other calls.
+MAX_WITHHELD_S = 10.0
 
 MAX_CRASHES = 256
+MAX_WORKING = 4096  # starts of servers that have worked on calls, the newest
 MAX_PARTS = 64  # of a crash
 # Parts whose last complete answer is known, the newest of them.
 MAX_CLEARED = 4096  # with crashes that peers may report again
@@ -46,10 +61,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownCrash:
-    """The parts of calls that a server had just begun to answer when it ended."""
+    """The parts of calls that a server had just begun to answer when it ended.
+
+    `had_worked` is whether it had answered other calls since its start, or was past the
+    beginning of their answers.
+    """
 
     parts: frozenset[str]
     at: float
+    had_worked: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +85,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Weight:
-    """How strongly the crashes that have no other explanation speak against a part."""
+    """How strongly the crashes that have no other explanation speak against a part.
+
+    `ends_sound_server` is whether they all are of one server that is not at fault.
+    """
 
     counted: int
     never_answered: bool
@@ -73,16 +96,19 @@
     crash_count: int
     moment_count: int
     server_count: int
+    ends_sound_server: bool
 
     @property
     def is_enough(self) -> bool:
         """Whether the part may be accused."""
-        needed = MIN_CRASHES if self.never_answered else MIN_CRASHES_IN_DOUBT
+        has_servers = self.server_count >= MIN_SERVERS
+        is_clear = self.never_answered and has_servers
+        needed = MIN_CRASHES if is_clear else MIN_CRASHES_IN_DOUBT
         return (
             not self.lately_answered
             and self.counted >= needed
             and self.moment_count >= MIN_MOMENTS
-            and self.server_count >= MIN_SERVERS
+            and (has_servers or self.ends_sound_server)
         )
 
     @property
@@ -119,12 +145,47 @@
         self.cleared_at: dict[str, float] = {}
         self._answered_at: dict[str, float] = {}
         self._uncleared: dict[str, Incarnations] = {}
+        self._working: dict[notices.Incarnation, None] = {}
         self._rivals: dict[str, frozenset[str]] = {}  # as far as asked for
         # Whether `explain` may return something else than before.
         self.is_changed = False
 
+    def add_working(self, incarnation: notices.Incarnation) -> bool:
+        """Add that a server works on calls; return whether that changes its crash."""
+        self._working[incarnation] = None
+        while len(self._working) > MAX_WORKING:
+            self._working.pop(next(iter(self._working)))
+        crash = self.crashes.get(incarnation)
+        return crash is not None and self.add_crash(incarnation, (), crash.at)
+
+    def awaits_work(
+        self, part: str, incarnation: notices.Incarnation, now: float
+    ) -> bool:
+        """Return whether a server has to work on other calls before one with a part.
+
+        So it is seen whether it is at fault itself, where a part may have ended it
+        again and again. Without other calls the wait ends with `MAX_WITHHELD_S`.
+        """
+        if incarnation in self._working or self.get_answered_at(part) > NEVER:
+            return False
+        ends = [
+            self.crashes[each]
+            for each in self.get_uncleared(part)
+            if each[0] == incarnation[0]
+        ]
+        return (
+            len(ends) >= MIN_ENDS_TO_WITHHOLD
+            and any(end.had_worked for end in ends)
+            and now - max(end.at for end in ends) < MAX_WITHHELD_S
+        )
+
     def add_crash(
-        self, incarnation: notices.Incarnation, parts: Collection[str], at: float
+        self,
+        incarnation: notices.Incarnation,
+        parts: Collection[str],
+        at: float,
+        *,
+        had_worked: bool = False,
     ) -> bool:
         """Add parts to a crash, and return whether the crash is changed by that.
 
@@ -136,7 +197,9 @@
                 return False
             known = KnownCrash(frozenset(), at)
         crash = KnownCrash(
-            _bound_parts(incarnation, known.parts.union(parts)), min(known.at, at)
+            _bound_parts(incarnation, known.parts.union(parts)),
+            min(known.at, at),
+            known.had_worked or had_worked or incarnation in self._working,
         )
         if crash == known:
             return False
@@ -186,6 +249,11 @@
         """Return the crashes of a part that no later answer has cleared."""
         return self._uncleared.get(part, set())
 
+    def get_first_crash_at(self, part: str) -> float:
+        """Return when the first crash was that no answer has cleared, or infinity."""
+        times = (self.crashes[each].at for each in self.get_uncleared(part))
+        return min(times, default=math.inf)
+
     def keep_answer(self, part: str) -> None:
         """Keep the last answer of a part among those that matter to peers."""
         answered_at = self._answered_at.pop(part, None)
@@ -343,8 +411,30 @@
             len(crashes),
             len(by_moment),
             len({server_id for server_id, _ in crashes}),
+            never_answered and self._ends_sound_server(crashes, explained),
         )
 
+    def _ends_sound_server(
+        self, crashes: Incarnations, explained: Incarnations
+    ) -> bool:
+        """Return whether crashes of a part are all of one server that works otherwise.
+
+        Such a server answers other calls between them, and seldom ends without one.
+        """
+        server_ids = {server_id for server_id, _ in crashes}
+        if len(server_ids) != 1 or len(crashes) < MIN_CRASHES_IN_DOUBT:
+            return False
+        first_at = min(self.crashes[each].at for each in crashes)
+        ends = {
+            each
+            for each, crash in self.crashes.items()
+            if each[0] in server_ids and crash.at >= first_at
+        }
+        working_count = sum(self.crashes[each].had_worked for each in crashes)
+        return working_count >= MIN_WORKING_STARTS and len(
+            crashes
+        ) >= MIN_SHARE_OF_ENDS * len(ends - explained)
+
     def _list_heaviest(
         self,
         candidates: Iterable[str],
--- a/src/primrosesaddle/calls/forwarding.py
+++ b/src/primrosesaddle/calls/forwarding.py
@@ -195,6 +195,11 @@
             self._release_connection(backend, conn)
             self._log_attempt(attempt, call, 'withdrawn')
             return False
+        if self._deps.crash_watch.is_withheld(call, backend):
+            call.refused_by.append(backend.server_id)
+            self._release_connection(backend, conn)
+            self._log_attempt(attempt, call, 'withheld')
+            return False
         attempt.conn = conn
         on_head = self._make_head_hook(attempt, backend.record.service)
         hooks: attempts.ResponseHooks = (on_head, attempt.on_body)
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -311,12 +311,16 @@
 
 
 class ServerCrash(msgspec.Struct, array_like=True, frozen=True):
-    """A server that ended, by id and start, and parts of prompts that it had begun."""
+    """A server that ended, by id and start, and parts of prompts that it had begun.
+
+    `had_worked` is whether it had worked on other calls since that start.
+    """
 
     server_id: str
     start_time_ms: int
     parts: tuple[str, ...]
     age_s: float
+    had_worked: bool = False
 
 
 class BlockedPart(msgspec.Struct, array_like=True, frozen=True):
--- a/src/primrosesaddle/process/crashreports.py
+++ b/src/primrosesaddle/process/crashreports.py
@@ -114,7 +114,9 @@
 def _encode(facts: crashes.Facts) -> wire.CrashFacts:
     return wire.CrashFacts(
         tuple(
-            wire.ServerCrash(*crash.incarnation, crash.parts, crash.age_s)
+            wire.ServerCrash(
+                *crash.incarnation, crash.parts, crash.age_s, crash.had_worked
+            )
             for crash in facts.crashes
         ),
         {cleared.part: cleared.age_s for cleared in facts.clearances},
@@ -137,7 +139,10 @@
     return crashes.Facts(
         tuple(
             crashes.Crash(
-                (crash.server_id, crash.start_time_ms), crash.parts, crash.age_s
+                (crash.server_id, crash.start_time_ms),
+                crash.parts,
+                crash.age_s,
+                crash.had_worked,
             )
             for crash in body.crashes
         ),
--- a/tests/crashstand.py
+++ b/tests/crashstand.py
@@ -32,7 +32,8 @@
     """A fleet, its calls and its disruptions.
 
     `power_losses` are times at which half of the servers end, `restarts` times at which
-    an entry starts anew without its history. Poisoned calls come from `poison_from_s`
+    an entry starts anew without its history. With `own_end_s`, each server also ends by
+    itself about that long after it started. Poisoned calls come from `poison_from_s`
     on, to entries whose number is below `poisoned_entries`. The last part of a prompt
     is its own; `with_last_part` tells whether it is looked at, too.
     """
@@ -49,6 +50,8 @@
     power_losses: tuple[float, ...] = ()
     restarts: tuple[tuple[float, int], ...] = ()
     with_last_part: bool = True
+    own_end_s: float = 0.0
+    sessions: int = 20
 
 
 @dataclasses.dataclass
@@ -61,6 +64,7 @@
     sound_answered: int = 0
     sound_not_repeated: int = 0
     poisoned_blocked: int = 0
+    withheld: int = 0
     blocked_at: list[float] = dataclasses.field(default_factory=list)
 
     def count_late(self, in_touch_only: bool = True) -> int:
@@ -111,6 +115,8 @@
         )
         for number in range(shape.entries):
             self._repeat(EXCHANGE_S, functools.partial(self._exchange, number), 0.0)
+        for number in range(shape.servers):
+            self._plan_own_end(number)
         for at in shape.power_losses:
             self._at(at, self._lose_power)
         for at, number in shape.restarts:
@@ -143,12 +149,12 @@
         self._at(begins_s + self._rand.random() * mean_s, step)
 
     def _begin_sound(self):
-        shared = f'shared-{self._rand.randrange(20)}'
+        shared = f'shared-{self._rand.randrange(self.shape.sessions)}'
         parts = (FIRST, shared, f'own-{next(self._serial)}')
         self._begin(_Call(parts, self._rand.randrange(self.shape.entries)))
 
     def _begin_poisoned(self):
-        shared = f'shared-{self._rand.randrange(20)}'
+        shared = f'shared-{self._rand.randrange(self.shape.sessions)}'
         parts = (FIRST, shared, POISON, f'own-{next(self._serial)}')
         poisoned_entries = self.shape.poisoned_entries or self.shape.entries
         self._begin(_Call(parts, self._rand.randrange(poisoned_entries)))
@@ -170,8 +176,11 @@
         if not up:
             return
         server = self._rand.choice(up)
-        self._running[server].add(call)
         start = self._starts[server]
+        if self._histories[call.entry].awaits_work(call.parts, (f'i-{server}', start)):
+            self.outcome.withheld += 1
+            return
+        self._running[server].add(call)
         if call.is_poisoned:
             self.outcome.reached.append((self.now, self._is_in_touch(call.entry)))
             self._after(
@@ -188,6 +197,9 @@
         self._running[server].discard(call)
         self.outcome.sound_answered += 1
         history = self._histories[call.entry]
+        incarnation = (f'i-{server}', start)
+        if history.record_working(incarnation):
+            self._tell(call.entry, history.export_crash(incarnation))
         told = history.record_sound(call.parts)
         if told:
             clearances = tuple(crashes.Clearance(part, 0.0) for part in told)
@@ -198,6 +210,18 @@
             self.outcome.crashed_at.append(self.now)
             self._end_server(server)
 
+    def _plan_own_end(self, server):
+        if not self.shape.own_end_s:
+            return
+        start = self._starts[server]
+        delay_s = self._rand.expovariate(1.0 / self.shape.own_end_s)
+
+        def end():
+            if start == self._starts[server]:
+                self._end_server(server)
+
+        self._at(self._up_from[server] + delay_s, end)
+
     def _lose_power(self):
         for server in range(0, self.shape.servers, 2):
             self._after(
@@ -209,6 +233,7 @@
         incarnation = (f'i-{server}', self._starts[server])
         self._starts[server] += 1
         self._up_from[server] = self.now + SILENT_S
+        self._plan_own_end(server)
         broken_off = sorted(self._running[server], key=lambda call: call.parts)
         self._running[server] = set()
         for entry in {call.entry for call in broken_off}:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -160,6 +160,98 @@
     _assert_equal(_list_blocked(history), [])
 
 
+def _end_single_server(history, clock, number, parts, *, works):
+    """Let a server end under a call with some parts, after others or not."""
+    clock.now += 2.0
+    if works:
+        history.record_working(('s0', number))
+        history.record_sound(('first',))
+    clock.now += 1.0
+    history.record_crash(('s0', number), ('first', f'own-{number}', *parts))
+
+
+def test_part_that_ends_the_only_server_is_blocked_at_the_fifth_end(history, clock):
+    """Guards against calls that end a region's only server for as long as they come."""
+    for number in range(4):
+        _end_single_server(history, clock, number, ('poison',), works=number in {0, 2})
+    _assert_equal(_list_blocked(history), [])
+    _end_single_server(history, clock, 4, ('poison',), works=False)
+    _assert_equal(_list_blocked(history), ['poison'])
+
+
+def test_server_that_broke_is_at_fault_itself(history, clock):
+    """It worked before its first end, and not after it."""
+    for number in range(9):
+        _end_single_server(history, clock, number, ('new',), works=number == 0)
+    _assert_equal(_list_blocked(history), [])
+
+
+def test_server_that_mostly_ends_without_a_part_is_at_fault_itself(history, clock):
+    """It works in between; calls with a new part were cut off at one end in three."""
+    for number in range(18):
+        others = () if number % 3 else ('new',)
+        _end_single_server(history, clock, number, others, works=True)
+    _assert_equal(_list_blocked(history), [])
+
+
+def test_part_that_the_only_server_has_answered_is_not_accused(history, clock):
+    """A part that most calls have is in most ends of a server at fault."""
+    history.record_sound(('often',))
+    clock.now += evidence.ANSWER_HOLDS_S
+    for number in range(9):
+        _end_single_server(history, clock, number, ('often',), works=True)
+    _assert_equal(_list_blocked(history), [])
+
+
+def test_call_that_may_end_a_server_waits_until_it_has_worked(history, clock):
+    """Guards against starts that end before they can show who is at fault."""
+    parts = ('first', 'poison')
+    _end_single_server(history, clock, 0, ('poison',), works=True)
+    _assert_equal(history.awaits_work(parts, ('s0', 1)), False)
+    _end_single_server(history, clock, 1, ('poison',), works=False)
+    _assert_equal(history.awaits_work(parts, ('s0', 2)), True)
+    _assert_equal(history.awaits_work(('first', 'second'), ('s0', 2)), False)
+    _assert_equal(history.awaits_work(parts, ('s1', 2)), False)
+    history.record_working(('s0', 2))
+    _assert_equal(history.awaits_work(parts, ('s0', 2)), False)
+
+
+def test_call_to_a_server_without_other_calls_waits_for_some_seconds(history, clock):
+    """Nothing else would show that the server works."""
+    for number in range(2):
+        _end_single_server(history, clock, number, ('poison',), works=number == 0)
+    clock.now += evidence.MAX_WITHHELD_S - 0.1
+    _assert_equal(history.awaits_work(('poison',), ('s0', 2)), True)
+    clock.now += 0.1
+    _assert_equal(history.awaits_work(('poison',), ('s0', 2)), False)
+
+
+def test_server_that_never_worked_gets_all_calls(history, clock):
+    """It ends by itself, and no call is to blame."""
+    for number in range(4):
+        _end_single_server(history, clock, number, ('new',), works=False)
+    _assert_equal(history.awaits_work(('first', 'new'), ('s0', 4)), False)
+
+
+def test_entries_that_see_different_calls_of_a_server_agree(make_history, clock):
+    """One sees the calls that end it, the other that it works; either may be later."""
+    ends, works = make_history(), make_history()
+    for number in range(5):
+        incarnation = ('s0', number)
+        clock.now += 3.0
+        if number % 2:
+            works.record_working(incarnation)
+        ends.record_crash(incarnation, ('poison', f'own-{number}'))
+        works.merge(ends.export_crash(incarnation), 'ends')
+        if not number % 2:
+            assert works.record_working(incarnation)
+        _assert_equal(works.record_working(incarnation), False)
+        assert ends.merge(works.export_crash(incarnation), 'works')
+        _assert_equal(ends.merge(works.export(), 'works'), False)
+    for history in (ends, works):
+        _assert_equal(_list_blocked(history), ['poison'])
+
+
 def test_crashes_between_complete_answers_accuse_nobody(history, clock):
     """Servers may end for other reasons, one after the other."""
     for number in range(9):
@@ -573,6 +665,46 @@
         _assert_equal(outcome.sound_blocked, 0)
 
 
+ONE_SERVER = {'servers': 1, 'sound_per_s': 8.0, 'duration_s': 90.0}
+
+
+@pytest.mark.parametrize('poisoned_per_s', [0.5, 1.4, 3.0])
+def test_few_calls_with_the_part_reach_the_only_server(poisoned_per_s):
+    """It works on other calls after each start, and on all once the part is blocked."""
+    _simulate_single_server(poisoned_per_s, range(20))
+
+
+@pytest.mark.parametrize('poisoned_per_s', [5.0, 10.0])
+def test_few_of_frequent_calls_with_the_part_reach_the_only_server(poisoned_per_s):
+    """Several of them come in before the server ends."""
+    _simulate_single_server(poisoned_per_s, range(60))
+
+
+def _simulate_single_server(poisoned_per_s, seeds):
+    for seed in seeds:
+        shape = crashstand.Shape(**ONE_SERVER, poisoned_per_s=poisoned_per_s)
+        outcome = crashstand.Simulation(shape, seed).run()
+        assert outcome.poisoned_blocked > 5
+        assert outcome.count_late() <= 3, (seed, outcome.crashed_at)
+        _assert_equal(outcome.sound_blocked, 0)
+
+
+@pytest.mark.parametrize('own_end_s', [0.5, 1.0, 3.0])
+@pytest.mark.parametrize('sessions', [2, 20, 500])
+def test_only_server_that_ends_by_itself_accuses_no_part(own_end_s, sessions):
+    """Few or many sessions, of which new ones begin all the time."""
+    for seed in range(10):
+        shape = crashstand.Shape(
+            **ONE_SERVER,
+            poison_from_s=100.0,
+            own_end_s=own_end_s,
+            sessions=sessions,
+        )
+        outcome = crashstand.Simulation(shape, seed).run()
+        assert outcome.sound_answered > 10
+        _assert_equal(outcome.sound_blocked, 0)
+
+
 def test_trials_of_a_small_fleet_are_few():
     """Each of them may cost a server."""
     outcome = crashstand.Simulation(crashstand.Shape(duration_s=350.0), 0).run()
@@ -608,6 +740,10 @@
         self.facts = []
         self.fact_count = 0
         self.results = {}
+        self.working = set()
+        self.told_working = (
+            set()
+        )  # in reports of crashes, which are forgotten with them
 
     def once(self, key, compute):
         """Return what was computed before from the same facts at the same time."""
@@ -618,12 +754,19 @@
             self.results[key] = compute()
         return self.results[key]
 
-    def add_crash(self, incarnation, parts, age_s):
+    def add_crash(self, incarnation, parts, age_s, had_worked=False):
         """Keep a crash unless it is older than the window."""
+        if had_worked:
+            self.told_working.add(incarnation)
         if age_s < evidence.WINDOW_S:
             self.fact_count += 1
             self.facts.append(('crash', incarnation, parts, self.clock() - age_s))
 
+    def add_working(self, incarnation):
+        """Keep that a server works."""
+        self.fact_count += 1
+        self.working.add(incarnation)
+
     def add_answer(self, part, age_s):
         """Keep an answer."""
         self.fact_count += 1
@@ -632,7 +775,9 @@
     def add_facts(self, facts):
         """Keep what is merged."""
         for crash in facts.crashes:
-            self.add_crash(crash.incarnation, crash.parts, crash.age_s)
+            self.add_crash(
+                crash.incarnation, crash.parts, crash.age_s, crash.had_worked
+            )
         for clearance in facts.clearances:
             self.add_answer(clearance.part, clearance.age_s)
 
@@ -664,6 +809,7 @@
         old = {each for each, known in found.items() if known[0] <= oldest}
         # Forgotten for good: a report that comes later counts as one of a new crash.
         self.facts = [each for each in self.facts if each[1] not in old]
+        self.told_working -= old
         return {each: known for each, known in found.items() if each not in old}
 
     def uncleared(self, part):
@@ -695,14 +841,28 @@
         is_new = answered_at == NEVER
         most = 2 if is_new else 1
         counted = sum(min(times.count(each), most) for each in set(times))
+        has_servers = len({server_id for server_id, _ in left}) >= 2
         is_enough = (
-            counted >= (3 if is_new else 5)
+            counted >= (3 if is_new and has_servers else 5)
             and len(set(times)) >= 2
-            and len({server_id for server_id, _ in left}) >= 2
+            and (has_servers or (is_new and self.ends_sound_server(left, explained)))
             and answered_at <= max(times) - evidence.ANSWER_HOLDS_S
         )
         return Weight(part, left, counted, is_new, is_enough)
 
+    def ends_sound_server(self, ends, explained):
+        """Tell whether a server works in two of its starts, and ends here mostly."""
+        known = self.crashes()
+        first_at = min(known[each][0] for each in ends)
+        server_id = min(ends)[0]
+        others = [
+            each
+            for each, (at, _) in known.items()
+            if each[0] == server_id and at >= first_at and each not in explained | ends
+        ]
+        working = ends & (self.working | self.told_working)
+        return len(working) >= 2 and len(others) <= len(ends)
+
     def accuse(self, already):
         """Return the parts that explain the crashes that others don't explain."""
         explained = frozenset().union(*(self.uncleared(part) for part in already))
@@ -762,6 +922,30 @@
             self.clock.now += 1
             self.crash(to, 6 + begin + number, 0, ('a', other), 0)
 
+    @stateful.rule(to=histories, server=st.integers(0, 5), start=st.integers(0, 3))
+    def work(self, to, server, start):
+        """Report that a server works on calls, before or after its end is known."""
+        self.histories[to].record_working((f's{server}', start))
+        self.oracles[to].add_working((f's{server}', start))
+
+    @stateful.rule(
+        to=histories,
+        begin=st.integers(0, 9),
+        works=st.lists(st.booleans(), min_size=4, max_size=6),
+        others=part_sets,
+    )
+    def end_one_server(self, to, begin, works, others):
+        """End one server again and again, mostly by calls that share a part."""
+        for number, is_working in enumerate(works):
+            incarnation = ('s9', begin + number)
+            self.clock.now += 1
+            if is_working:
+                self.histories[to].record_working(incarnation)
+                self.oracles[to].add_working(incarnation)
+            parts = ('b',) if number else sorted(others)
+            self.histories[to].record_crash(incarnation, parts)
+            self.oracles[to].add_crash(incarnation, parts, 0)
+
     @stateful.rule(
         to=histories, parts=part_sets, age_s=st.sampled_from((0, 0, 1, 3, 40))
     )
@@ -864,6 +1048,10 @@
                 },
                 oracle.crashes(),
             )
+            _assert_equal(
+                {each.incarnation for each in facts.crashes if each.had_worked},
+                (oracle.working | oracle.told_working) & oracle.crashes().keys(),
+            )
             for clearance in facts.clearances:
                 _assert_equal(now - clearance.age_s, oracle.answered_at(clearance.part))
             self.check_blocks(oracle, facts.blocks)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -25,6 +25,7 @@
 DOWN_S = 1.5  # until a server that ended is back
 MOMENT_S = 0.4  # between ends of servers that have no cause in common
 LOAD_S = 12.0
+SINGLE_LOAD_S = 26.0  # five ends of one server, the bound after them, and some more
 INTERVAL_S = 0.1  # between the calls of a kind
 CRASHES_ALLOWED = 5  # before the bound begins
 SENT_ALLOWED = 3  # later than `stand.CONTACT_S` after those
@@ -52,9 +53,10 @@
 
     _starts = itertools.count(1)
 
-    def __init__(self, name, store):
+    def __init__(self, name, store, *, keeps_id=False):
         super().__init__(name, self._run)
         self._store = store
+        self._keeps_id = keeps_id
         self.sound = stand.stream(6, pause_s=0.02)
         self._writers = set()
         self._tasks = set()
@@ -69,9 +71,11 @@
     async def start(self):
         await super().start()
         number = next(self._starts)
-        if self._key:
+        if self._key and not self._keeps_id:
             self._store.remove(self._key)
-        self._key = f'servers/i-{self.name}-{number}'
+        self._key = f'servers/i-{self.name}'
+        if not self._keeps_id:
+            self._key += f'-{number}'
         self._store.put(self._key, self.record(born=number))
         self.is_up = True
 
@@ -139,6 +143,19 @@
                     group.create_task(self.call(is_bad=is_bad))
                     await asyncio.sleep(INTERVAL_S / len(kinds))
 
+    async def run_slowly(self, load_s):
+        """Make eight sound calls a second, and one with the part for each five."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + load_s
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if loop.time() >= until:
+                    return
+                group.create_task(self.call(is_bad=False))
+                if number % 5 == 0:
+                    group.create_task(self.call(is_bad=True))
+                await asyncio.sleep(0.125)
+
     async def call(self, *, is_bad, entry=None):
         """Make a call, no two of which are alike, and return its answer."""
         began_at = asyncio.get_running_loop().time()
@@ -274,24 +291,29 @@
 
 
 @contextlib.asynccontextmanager
-async def _sufferers(fleet, entries=2):
+async def _sufferers(fleet, entries=2, count=SERVERS, *, keeps_id=False):
     """Add the servers and further entries to a fleet; return the load on it."""
-    servers = [Sufferer(f's{number}', fleet.store) for number in range(SERVERS)]
+    servers = [
+        Sufferer(f's{number}', fleet.store, keeps_id=keeps_id)
+        for number in range(count)
+    ]
     for server in servers:
         await server.start()
     try:
         while len(fleet.entries) < entries:
             await fleet.join('dc-2')
-        await fleet.until(lambda: all(_is_complete(each) for each in fleet.entries))
+        await fleet.until(
+            lambda: all(_is_complete(each, count) for each in fleet.entries)
+        )
         yield Load(fleet, servers)
     finally:
         for server in servers:
             await server.stop()
 
 
-def _is_complete(each):
+def _is_complete(each, count):
     is_linked = len(each.mesh.ready_entries()) > 0
-    return is_linked and len(each.backends.list_servers('engines')) == SERVERS
+    return is_linked and len(each.backends.list_servers('engines')) == count
 
 
 def test_part_that_crashes_servers_stops_reaching_them(in_fleet):
@@ -312,6 +334,23 @@
     in_fleet(check)
 
 
+def test_part_that_crashes_the_only_server_stops_reaching_it(in_fleet):
+    """Guards against calls that end one server, which keeps its id, again and again."""
+
+    async def check(fleet):
+        async with _sufferers(fleet, count=1, keeps_id=True) as load:
+            await load.run_slowly(SINGLE_LOAD_S)
+            seen = f'{len(load.ended_at)} ends, {load.count_sent_late()} late'
+            assertions.assert_that(
+                load.count_sent_late(), matchers.LessThan(SENT_ALLOWED + 1), seen
+            )
+            assertions.assert_that(
+                load.sound_share(), matchers.GreaterThan(SOUND_SHARE), seen
+            )
+
+    in_fleet(check)
+
+
 def _verdict(reply):
     return json.loads(reply.body)['verdict']
 
