Answers: a status outside 100 to 599 is no answer

Cause: the parsers accept any three digits, and nothing asked whether they are a status.

Change: net/upstream.py breaks such an exchange off before its head is used, so that calls, streams and the clients of store, origin and engine are covered at one place; core/httpio.py raises HttpFailure for the product's own interface.

--- a/src/primrosesaddle/core/httpio.py
+++ b/src/primrosesaddle/core/httpio.py
@@ -6,6 +6,8 @@
 import msgspec
 from tornado import httpclient, httputil, simple_httpclient
 
+from primrosesaddle.core import httpstatus
+
 __all__ = ('HttpFailure', 'fetch', 'fetch_json')
 
 MAX_CLIENTS = 512
@@ -65,7 +67,7 @@
 
     `options` are further arguments of tornado's `HTTPRequest`.
 
-    Raises `HttpFailure` when there is no answer.
+    Raises `HttpFailure` when there is no answer, or one without a status of HTTP.
     """
     req = httpclient.HTTPRequest(
         url,
@@ -79,13 +81,16 @@
         **options,
     )
     try:
-        return await client().fetch(req, raise_error=False)
+        answer = await client().fetch(req, raise_error=False)
     except ConnectionRefusedError as exc:
         raise HttpFailure(repr(exc), sent=False) from None
     except simple_httpclient.HTTPTimeoutError as exc:
         raise HttpFailure(repr(exc), sent='connect' not in str(exc)) from None
     except (OSError, httpclient.HTTPError, ValueError) as exc:
         raise HttpFailure(repr(exc), sent=True) from None
+    if not httpstatus.is_valid(answer.code):
+        raise HttpFailure(f'malformed: status {answer.code:03}', sent=True)
+    return answer
 
 
 async def fetch_json(
--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -9,7 +9,7 @@
 import httptools
 from tornado import httputil
 
-from primrosesaddle.core import addresses
+from primrosesaddle.core import addresses, httpstatus
 
 __all__ = (
     'Connection',
@@ -300,6 +300,8 @@
     def on_headers_complete(self) -> None:
         """Handle the status line and headers of an answer."""
         status = self._parser.get_status_code()
+        if not httpstatus.is_valid(status):
+            self._fail(f'malformed: status {status:03}')
         if self._ended.done() or 100 <= status < 200:
             return
         headers = self._headers
