Crashes: a part answered before is no rival of one that never was

Cause: a blocked part that has a rival in half of its crashes is tried early by calls without that rival. A session that many of these calls happened to have counted as one, although calls with it had been answered, and a part that was answered before is never accused ahead of one that was not. So early trials found out what was known, at one end of the server each.

Change: only parts that were never answered are rivals of a part that never was.

--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -220,6 +220,8 @@
         """Add a complete answer, and return the crashes of which it clears a part."""
         if at <= self.get_answered_at(part):
             return set()
+        if part in self._uncleared:
+            self._rivals.clear()
         if len(self.get_uncleared(part)) >= MIN_CRASHES:
             self.is_changed = True
         if part in self.cleared_at or part in self._uncleared:
@@ -336,19 +338,26 @@
     def list_rivals(self, part: str) -> frozenset[str]:
         """Return the parts that explain the most crashes of a part beside it.
 
-        There are none unless they explain at least half of its crashes.
+        There are none unless they explain at least half of its crashes. One that was
+        answered before is no rival of a part that never was.
         """
         crashes = self.get_uncleared(part)
+        is_known = self.get_answered_at(part) > NEVER
         shared = collections.Counter(
             other
             for each in crashes
             for other in self.crashes[each].parts
             if other != part and each in self.get_uncleared(other)
         )
-        most = max(shared.values(), default=0)
+        counts = {
+            other: count
+            for other, count in shared.items()
+            if is_known or self.get_answered_at(other) == NEVER
+        }
+        most = max(counts.values(), default=0)
         if most < MIN_SHARED_CRASHES or 2 * most < len(crashes):
             return frozenset()
-        return frozenset(other for other, count in shared.items() if count == most)
+        return frozenset(other for other, count in counts.items() if count == most)
 
     def list_uncleared(self, parts: Iterable[str]) -> Incarnations:
         """Return the crashes of some parts that no later answer has cleared."""
