Answers: white space behind a header's value is no part of it

Cause: the parser keeps white space behind a value, and HTTPHeaders.add of tornado refuses such a value; the exception ended the exchange. Evidence: attempt.broken with why=malformed and the callback's error, before any header was interpreted.

Change: net/upstream.py strips spaces and tabs, for calls, streams and the clients of store, origin and engine. The product's own interface reads answers with tornado, which strips them.

A tab behind Transfer-Encoding: chunked is still not understood by the parser; its test is listed.

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -35,6 +35,7 @@
 MAX_FRAMING_RATIO = 16
 MAX_STRAY_BYTES = 8 * 1024 * 1024  # of the bodies of late answers to earlier requests
 MAX_STRAY_ANSWERS = 2  # late answers to earlier requests that are skipped
+WHITE_SPACE = ' \t'  # around the value of a header
 _NO_BODY = frozenset((204, 304))
 _METHODS_WITHOUT_BODY = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -293,9 +294,13 @@
         self._reason += reason.decode('latin1')
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header; those behind a body in chunks are ignored."""
+        """Store a header; those behind a body in chunks are ignored.
+
+        The parser keeps white space behind a value, of which it is no part.
+        """
         if not self._in_body and not self._ended.done():
-            self._headers.add(name.decode('latin1'), text.decode('latin1'))
+            value = text.decode('latin1').strip(WHITE_SPACE)
+            self._headers.add(name.decode('latin1'), value)
 
     def on_headers_complete(self) -> None:
         """Handle the status line and headers of an answer."""
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -35,6 +35,23 @@
     in_fleet(check, server)
 
 
+@pytest.mark.parametrize('space', [' ', '\t'])
+@pytest.mark.parametrize('path', ['/book/1', '/read/1', '/chat/1'])
+def test_answer_with_white_space_behind_a_header_value_is_served(in_fleet, path, space):
+    """Guards against bookings that are made while their callers get 502."""
+    extra = (f'X-Server-Load: 1,0,4{space}', f'X-Kept: yes{space}')
+    server = stand.Server('a', stand.answer(extra=extra))
+
+    async def check(fleet):
+        for _ in range(3):
+            reply = await fleet.call(path)
+            _assert_equal((reply.status, reply.body), (200, b'done'))
+            _assert_equal(reply.headers['x-kept'], 'yes')
+        _assert_equal(len(server.seen), 3)
+
+    in_fleet(check, server)
+
+
 def test_idempotent_call_is_retried_after_a_close(in_fleet):
     """When a server closes without an answer, the call is sent to another."""
     first = stand.Server('a', stand.close)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -175,6 +175,46 @@
     with_server(check, [answer])
 
 
+IN_LENGTH = b'Content-Length: 3%s\r\n\r\none'
+IN_CHUNKS = b'Transfer-Encoding: chunked%s\r\n\r\n3\r\none\r\n0\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('framed', 'space'),
+    [(IN_LENGTH, b' '), (IN_LENGTH, b'\t'), (IN_LENGTH, b' \t  '), (IN_CHUNKS, b'  ')],
+)
+def test_white_space_behind_the_value_of_a_header_is_no_part_of_it(
+    with_server, framed, space
+):
+    """Guards against sound answers that are lost, and calls that are made again."""
+    _check_white_space(with_server, framed, space)
+
+
+def test_tab_behind_the_name_of_chunks_is_no_part_of_it(with_server):
+    """Guards against the same where the parser reads the value by itself."""
+    _check_white_space(with_server, IN_CHUNKS, b'\t')
+
+
+def _check_white_space(with_server, framed, space):
+    heads = []
+    answer = HEAD + b'X-A: one two%s\r\nX-B:%s\r\n' % (space, space) + framed % space
+
+    async def check(conn):
+        received = Received()
+        exchange = upstream.Exchange(
+            conn, heads.append, received.on_body, lambda headers: True
+        )
+        exchange.send_request('GET', '/x', [('Host', 'h')], b'')
+        async with asyncio.timeout(5):
+            ending = await exchange.read_answer()
+        _assert_equal((ending.name, received.body), ('COMPLETE', b'one'))
+        headers = heads[0].headers
+        _assert_equal((headers['X-A'], headers['X-B']), ('one two', ''))
+        _assert_equal(conn.is_reusable, True)
+
+    with_server(check, [answer], [])
+
+
 def test_answer_that_ends_with_the_connection_is_complete(with_server):
     """It has no length, and the server closes the connection in order."""
 
