Evidence: plainer wording of what a single server's ends show

Cause: read as a newcomer, a return expression that the formatter had torn and two docstrings had to be read twice. Change: wording and a local name; no behaviour.

--- a/src/primrosesaddle/calls/evidence.py
+++ b/src/primrosesaddle/calls/evidence.py
@@ -44,7 +44,7 @@
 MIN_SHARE_OF_ENDS = 0.5  # of the ends of a single server since the first with the part
 
 MIN_ENDS_TO_WITHHOLD = 2  # of a server under calls with a part
-# Since the newest end, after which such calls are sent to a server without other calls.
+# Seconds since the newest end for which such calls wait until the server has worked.
 MAX_WITHHELD_S = 10.0
 
 MAX_CRASHES = 256
@@ -163,8 +163,9 @@
     ) -> bool:
         """Return whether a server has to work on other calls before one with a part.
 
-        So it is seen whether it is at fault itself, where a part may have ended it
-        again and again. Without other calls the wait ends with `MAX_WITHHELD_S`.
+        It has to if the part may have ended it several times: the next end then shows
+        whether the server itself is at fault. The wait lasts `MAX_WITHHELD_S` at most,
+        as there may be no other calls.
         """
         if incarnation in self._working or self.get_answered_at(part) > NEVER:
             return False
@@ -428,7 +429,8 @@
     ) -> bool:
         """Return whether crashes of a part are all of one server that works otherwise.
 
-        Such a server answers other calls between them, and seldom ends without one.
+        Such a server answers other calls in some of its starts, and half or more of its
+        ends are among the crashes.
         """
         server_ids = {server_id for server_id, _ in crashes}
         if len(server_ids) != 1 or len(crashes) < MIN_CRASHES_IN_DOUBT:
@@ -440,9 +442,10 @@
             if each[0] in server_ids and crash.at >= first_at
         }
         working_count = sum(self.crashes[each].had_worked for each in crashes)
-        return working_count >= MIN_WORKING_STARTS and len(
-            crashes
-        ) >= MIN_SHARE_OF_ENDS * len(ends - explained)
+        share_of_ends = len(crashes) / len(ends - explained)
+        return (
+            working_count >= MIN_WORKING_STARTS and share_of_ends >= MIN_SHARE_OF_ENDS
+        )
 
     def _list_heaviest(
         self,
--- a/src/primrosesaddle/gateway/chat.py
+++ b/src/primrosesaddle/gateway/chat.py
@@ -102,8 +102,8 @@
     def _engine_refusal_of(self, status: int, body: bytes) -> verdict.Refusal:
         """Return the refusal for an error status of the engine.
 
-        Of those that an engine may also give to a call that it has begun to run, none
-        is taken for a promise that it did not.
+        It promises that the call did not run only for the statuses with which an
+        engine refuses a call before it begins.
         """
         if status in {400, 404, 422}:
             reason = body[:200].decode(errors='replace')
