--- a/review/11/play.py
+++ b/review/11/play.py
@@ -121,6 +121,7 @@
         return list(await asyncio.gather(*tasks))
 
     def _is_broken(self, answers: list[callers.Answer], changed_at: float) -> bool:
+        case.note_calls(self._case, answers, self._runs)
         runs = {run.attempt_id: run for run in self._runs}
         late = [each for each in answers if each.sent_at > changed_at + APPLY_S]
         by_old, with_old_key = 0, 0
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -34,6 +34,7 @@
         self._doors: list[store.Door] = []
         self._entries: list[processes.Machine] = []
         self._sent: dict[str, str] = {}
+        self._answers: list[callers.Answer] = []
         self._were_cut: set[str] = set()
         self._gone_at: dict[str, float] = {}
 
@@ -112,8 +113,10 @@
     ) -> None:
         answer = await caller.call(entry.front, '/read/slots', KEY)
         self._sent[answer.attempt_id] = entry.name
+        self._answers.append(answer)
 
     def _is_broken(self) -> bool:
+        case.note_calls(self._case, self._answers, self._runs)
         late = 0
         for run in self._runs:
             since_s = run.at - self._gone_at.get(run.server, run.at)
--- a/review/standins-3/case.py
+++ b/review/standins-3/case.py
@@ -1,6 +1,7 @@
 """The frame of a case: its folder, its record, its processes and its exit status."""
 
 import asyncio
+import collections
 import os
 import pathlib
 import sys
@@ -9,9 +10,11 @@
 import typing
 from collections.abc import Awaitable, Callable
 
+import callers
+import desks
 import processes
 
-__all__ = ('Case', 'run')
+__all__ = ('Case', 'note_calls', 'run')
 
 HELD = 0
 BROKEN = 1
@@ -39,6 +42,13 @@
         self._record.write(f'{since_s:8.3f} {text}\n')
         self._record.flush()
 
+    def note_call(self, answer: callers.Answer, runs: typing.Iterable[str]) -> None:
+        """Write a request to the record: when it was sent, its answer, who ran it."""
+        sent_s = answer.sent_at - self._began_at
+        ran = ', '.join(runs) or 'nobody'
+        outcome = answer.status or answer.note
+        self.note(f'{answer.attempt_id} sent at {sent_s:.3f}: {outcome}, run by {ran}')
+
     def add(self, *machines: processes.Machine) -> None:
         """Start machines, which are ended with the run."""
         self.machines.extend(machines)
@@ -54,6 +64,19 @@
         self._record.close()
 
 
+def note_calls(
+    made: Case,
+    answers: typing.Iterable[callers.Answer],
+    runs: typing.Iterable[desks.Run],
+) -> None:
+    """Write requests to the record, each with the servers that ran it."""
+    by_attempt = collections.defaultdict(list)
+    for each in runs:
+        by_attempt[each.attempt_id].append(each.server)
+    for answer in answers:
+        made.note_call(answer, by_attempt[answer.attempt_id])
+
+
 def run(play: Callable[[Case], Awaitable[typing.Any]]) -> None:
     """Play a case, and exit with its status.
 
