Logs: the store's era, and a store that is behind what is known

Nothing told a store that was restored from a copy from one whose history was compacted: both showed store.history_gone and store.read. The client now reads the era that all answers state; the reader logs it when it changes (store.era), and a revision lower than the known one (store.behind).

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -39,14 +39,15 @@
 
 
 class Snapshot(typing.NamedTuple):
-    """All items at a revision."""
+    """All items at a revision of an era of the store."""
 
     items: list[Item]
     revision: int
+    era: int = 0
 
 
 class Changes(typing.NamedTuple):
-    """The items that changed, up to a revision.
+    """The items that changed, up to a revision of an era of the store.
 
     `unseen_s` is the time before this read in which the source was not read.
     `expiring_s` maps keys of removed items to the seconds for which they are still
@@ -57,6 +58,7 @@
     revision: int
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
+    era: int = 0
 
 
 class _Origin(typing.NamedTuple):
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -87,6 +87,7 @@
         self._failing_since = 0.0
         self._others_served_at: float | None = None  # first evidence of that
         self._regained_at = 0.0
+        self.store_era = 0  # of the last answer
         self._after: int | None = None
         # The store no longer has the changes after this revision. All items are read,
         # unless a peer has sent what is missing: reads by all entries at once would
@@ -158,10 +159,14 @@
         began_at = self._clock()
         snapshot = await self._source.read_all()
         self._record_success(began_at)
+        self._record_position(snapshot.era, snapshot.revision)
         self._view.apply_snapshot(snapshot, fleetview.STORE)
         self._after = snapshot.revision
         journal.info(
-            'store.read', items=len(snapshot.items), revision=snapshot.revision
+            'store.read',
+            items=len(snapshot.items),
+            revision=snapshot.revision,
+            era=snapshot.era,
         )
 
     async def _read_changes(self) -> None:
@@ -184,6 +189,7 @@
             self._history_gone_after = after
             return
         self._record_success(answered_at if is_watching else began_at)
+        self._record_position(changes.era, changes.revision)
         self._view.apply_changes(changes._replace(unseen_s=unseen_s), fleetview.STORE)
         self._after = max(after, changes.revision)
 
@@ -209,6 +215,19 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self._record_success(began_at)
 
+    def _record_position(self, era: int, revision: int) -> None:
+        """Record the position of an answer, and log if the store has gone back."""
+        if era != self.store_era:
+            if self.store_era:
+                journal.warning(
+                    'store.era', era=era, before=self.store_era, revision=revision
+                )
+            self.store_era = era
+        if revision < self._view.revision:
+            journal.warning(
+                'store.behind', era=era, revision=revision, known=self._view.revision
+            )
+
     def _record_failure(self, exc: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/src/primrosesaddle/platform/names.py
+++ b/src/primrosesaddle/platform/names.py
@@ -13,6 +13,7 @@
     'PROMPT_PARTS_HEADER',
     'RETRY_AFTER_HEADER',
     'SERVER_LEAVING_HEADER',
+    'STORE_ERA_HEADER',
     'PRIORITY_HEADER',
     'SEAL_HEADER',
     'TENANT_HEADER',
@@ -39,6 +40,8 @@
 NOT_EXECUTED_HEADER = 'X-Not-Executed'
 # Present, as 1, in all answers of a server that is leaving.
 SERVER_LEAVING_HEADER = 'Server-Leaving'
+# In all answers of the store: how often it was restored from a copy, plus one.
+STORE_ERA_HEADER = 'Store-Era'
 # From a server: the seconds for which it wants no requests of this machine at all, not
 # only when to repeat the one that it refused.
 RETRY_AFTER_HEADER = 'Retry-After'
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -18,6 +18,7 @@
 MAX_WATCH_ANSWER_BYTES = 32 * 1024 * 1024
 WATCHED_PREFIX = ''  # everything that the operator and the servers publish
 STATUS_GONE = 410
+MAX_ERA = 2**53  # larger integers are not exact in all decoders
 
 
 class _Item(msgspec.Struct):
@@ -48,6 +49,7 @@
 
     def __init__(self, address: str) -> None:
         """Create a client of the store at an IP:PORT address."""
+        self._era = 0  # of the last answer that stated one
         self._reads = call.Client(address)
         self._watches = call.Client(address, MAX_WATCH_ANSWER_BYTES)
 
@@ -61,14 +63,14 @@
         first_revision: int | None = None
         while True:
             query = urllib.parse.urlencode({'prefix': WATCHED_PREFIX, 'after': after})
-            page = await self._read_json(
+            page, era = await self._read_json(
                 self._reads, f'{names.RANGE_PATH}?{query}', READ_TIMEOUT_S, _RANGE
             )
             if first_revision is None:
                 first_revision = page.store_revision
             found.extend(_decode_item(item) for item in page.items)
             if not page.truncated or not page.items:
-                return fleetview.Snapshot(found, first_revision)
+                return fleetview.Snapshot(found, first_revision, era)
             after = page.items[-1].key
 
     async def wait_changes(self, after: int, wait_s: float) -> fleetview.Changes | None:
@@ -83,13 +85,15 @@
         )
         timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
         try:
-            found = await self._read_json(
+            found, era = await self._read_json(
                 self._watches, f'{names.WATCH_PATH}?{query}', timeout_s, _EVENTS
             )
         except _HistoryGone:
             return None
         return fleetview.Changes(
-            [_decode_item(item) for item in found.events], found.store_revision
+            [_decode_item(item) for item in found.events],
+            found.store_revision,
+            era=era,
         )
 
     async def revision(self) -> int:
@@ -100,7 +104,7 @@
         # The answer includes the items under this prefix, which are few and small.
         query = urllib.parse.urlencode({'prefix': names.VERSION_PREFIX})
         target = f'{names.RANGE_PATH}?{query}'
-        page = await self._read_json(self._reads, target, READ_TIMEOUT_S, _RANGE)
+        page, _ = await self._read_json(self._reads, target, READ_TIMEOUT_S, _RANGE)
         return int(page.store_revision)
 
     async def _read_json(
@@ -109,20 +113,35 @@
         target: str,
         timeout_s: float,
         decoder: typing.Any,
-    ) -> typing.Any:
-        """Return the decoded answer; raises `call.CallFailed` or `_HistoryGone`."""
+    ) -> tuple[typing.Any, int]:
+        """Return the decoded answer and the store's era at that time.
+
+        Raises `call.CallFailed` or `_HistoryGone`.
+        """
         answer = await client.call('GET', target, timeout_s)
+        era = _parse_era(answer.headers.get(names.STORE_ERA_HEADER, ''))
+        if era is not None:
+            self._era = era
         if answer.status == STATUS_GONE:
             raise _HistoryGone
         if answer.status != 200:
             raise call.CallFailed(f'{target}: status {answer.status}')
-        return jsonbody.decode_answer(answer.body, decoder, target)
+        return jsonbody.decode_answer(answer.body, decoder, target), self._era
 
 
 class _HistoryGone(Exception):
     """The store no longer has the changes after the requested revision."""
 
 
+def _parse_era(text: str) -> int | None:
+    """Return the era that a header states, or None if it states none."""
+    text = text.strip()
+    if not (text.isascii() and text.isdigit()):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
 def _decode_item(item: _Item) -> fleetview.Item:
     if item.tombstone:
         return fleetview.Item(item.key, None, item.revision)
--- a/src/primrosesaddle/telemetry/story.py
+++ b/src/primrosesaddle/telemetry/story.py
@@ -18,6 +18,8 @@
         'servers.cold',
         'store.lost',
         'store.regained',
+        'store.era',
+        'store.behind',
         'process.started',
         'process.woke',
         'entry.leaving',
