Tests: the stand-in of the store can come back from a copy

The store sends its era with all answers once it is set, answers a watch from a revision that it doesn't have with 410, can be taken away (its connections are closed without an answer, waiting watches too), and comes back with what a copy holds, in the next era. It counts the requests.

--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -35,10 +35,19 @@
 }
 
 
+class Copy(typing.NamedTuple):
+    """What a store held at a moment, its history included."""
+
+    items: dict[str, dict[str, typing.Any]]
+    events: list[dict[str, typing.Any]]
+    revision: int
+
+
 class Store:
     """The store: items with revisions, ranges and waiting watches.
 
-    `sent` counts how often each item was sent.
+    `sent` counts how often each item was sent, `requests` all requests, those that were
+    not answered included. `era` is sent with all answers, unless it is None.
     """
 
     def __init__(self) -> None:
@@ -47,6 +56,9 @@
         self.revision = 1
         self.down = False
         self.mute = False
+        self.is_away = False
+        self.era: int | None = None
+        self.requests = 0
         self.watching = 0
         self.sent: collections.Counter[str] = collections.Counter()
         self.address = ports.free_address()
@@ -56,9 +68,10 @@
     def start(self) -> None:
         app = web.Application(
             [
-                ('/primrosesaddle/kv-range', _Range, {'store': self}),
-                ('/primrosesaddle/kv-watch', _Watch, {'store': self}),
-            ]
+                ('/primrosesaddle/kv-range', _Range),
+                ('/primrosesaddle/kv-watch', _Watch),
+            ],
+            store=self,
         )
         self._server = httpserver.HTTPServer(app)
         host, _, port = self.address.rpartition(':')
@@ -90,6 +103,24 @@
     def after(self, revision: int) -> list[dict[str, typing.Any]]:
         return [event for event in self.events if event['revision'] > revision]
 
+    def take_copy(self) -> Copy:
+        """Return a copy of what the store holds."""
+        return Copy(dict(self.items), list(self.events), self.revision)
+
+    def go_away(self) -> None:
+        """Close every connection without an answer from now on, waiting watches too."""
+        self.is_away = True
+        self._wake()
+
+    def come_back(self, copy: Copy) -> None:
+        """Answer again, in the next era and with what a copy holds."""
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self.revision = copy.revision
+        if self.era is not None:
+            self.era += 1
+        self.is_away = False
+
     async def wait(self, wait_s: float) -> None:
         self.watching += 1
         with contextlib.suppress(TimeoutError):
@@ -98,20 +129,33 @@
 
     def _add(self, event: dict[str, typing.Any]) -> None:
         self.events.append(event)
-        if self.mute:
-            return
+        if not self.mute:
+            self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
 
 class _Handler(web.RequestHandler):
-    def initialize(self, store: Store) -> None:
-        self.store = store
+    @property
+    def store(self) -> Store:
+        return typing.cast(Store, self.settings['store'])
+
+    def set_default_headers(self) -> None:
+        if self.store.era is not None:
+            self.set_header('Store-Era', str(self.store.era))
 
     def prepare(self) -> None:
-        if self.store.down:
+        self.store.requests += 1
+        if self.store.is_away:
+            self.cut()
+        elif self.store.down:
             self.send_error(503)
 
+    def cut(self) -> None:
+        self.detach().close()
+
 
 class _Range(_Handler):
     def get(self) -> None:
@@ -133,8 +177,15 @@
     async def get(self) -> None:
         after = int(self.get_query_argument('after'))
         wait_s = int(self.get_query_argument('waitMs')) / 1000
+        if after > self.store.revision:
+            self.send_error(410)
+            return
+        era = self.store.era
         if not self.store.after(after):
             await self.store.wait(wait_s)
+        if self.store.is_away or self.store.era != era:
+            self.cut()
+            return
         if self.store.down:
             self.send_error(503)
             return
