Store: revisions are ordered within an era of the store only

Callers' requests went by an older configuration, and reached servers that had said they were leaving, for as long as entries ran, after the store had been restored from a copy.

Cause: a restored store gives out revisions again. The view dropped every item of which it knew a higher revision, peers dropped each other's changes for the same reason, and the reader watched from the highest revision that it had ever seen: either it was answered 410 without end, or, where the store had passed that revision again, it never read what had come before it.

Positions of era and revision now order views, messages between processes and what these send each other. A process enters an era by all items only. A listed item that was known before in the same state doesn't replace a newer one that the store has lost; servers and evacuations that it lacks are kept for a time. A listing over two eras is read anew, and a store that is behind what peers know counts as lost, with the usual delays between attempts. In a new era another configuration with the version in force is adopted.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,7 +16,7 @@
 
 from bench import configspread, path, report
 from primrosesaddle.configuration import catalogue
-from primrosesaddle.core import rendezvous
+from primrosesaddle.core import positions, rendezvous
 from primrosesaddle.gateway import fairqueue, limits, router
 from primrosesaddle.membership import link, membertable, peers, wire
 from primrosesaddle.telemetry import journal
@@ -90,8 +90,8 @@
 def _peer_memory(count: int) -> float:
     hooks = link.Hooks(
         lambda channel, rid, body: None,
-        lambda channel, revision: None,
-        int,
+        lambda channel, position: None,
+        lambda: positions.START,
     )
     members = membertable.MemberTable(_card(0), hooks, None, random.Random(1))
     members.on_linked.clear()
--- a/bench/configspread.py
+++ b/bench/configspread.py
@@ -11,7 +11,7 @@
 from bench import report
 from primrosesaddle import roles
 from primrosesaddle.configuration import replica
-from primrosesaddle.core import httpio
+from primrosesaddle.core import httpio, positions
 from primrosesaddle.membership import dispatching, membertable, peers, wire
 
 __all__ = ('measure',)
@@ -47,8 +47,10 @@
         self.config = replica.CatalogueReplica(
             self.members, replica.make_watch(url), rand
         )
-        board.on_revision = self.config.pull_if_newer
-        board.get_revision = lambda: self.config.revision
+        board.on_position = lambda channel, position: self.config.pull_if_newer(
+            channel, position.revision
+        )
+        board.get_position = lambda: positions.Position(0, self.config.revision)
         board.register(
             wire.Hello,
             lambda channel, rid, body: self.members.handle_hello(channel, body),
--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from primrosesaddle.core import rendezvous
+from primrosesaddle.core import positions, rendezvous
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.membership import dispatching, link, membertable, peers, wire
 from primrosesaddle.telemetry import journal
@@ -43,11 +43,11 @@
 
 
 class _Leader(typing.NamedTuple):
-    """A peer with a higher revision than this process, and that revision."""
+    """A peer at a later position than this process, and that position."""
 
     channel: link.Channel
     card: wire.Card
-    revision: int
+    position: positions.Position
 
 
 class Feed:
@@ -77,16 +77,16 @@
         self._clock = asyncio.get_running_loop().time
         self._leaders: dict[str, _Leader] = {}
         self._has_leaders = asyncio.Event()
-        self._forwarded_revision = 0  # highest revision that another entry sent
+        self._forwarded_at = positions.START  # latest position that another entry sent
         self.items_bytes = 0
         self.last_update_at = 0.0
         dispatcher.register(wire.PullItems, self._answer_pull)
         dispatcher.register(wire.Items, self._handle_items)
-        dispatcher.on_revision = self._record_leader
-        dispatcher.get_revision = lambda: view.revision
+        dispatcher.on_position = self._record_leader
+        dispatcher.get_position = lambda: view.position
 
     async def run(self) -> None:
-        """Pull items whenever a peer has a higher revision, until cancelled."""
+        """Pull items whenever a peer is at a later position, until cancelled."""
         while True:
             await self._has_leaders.wait()
             self._has_leaders.clear()
@@ -94,7 +94,7 @@
                 await self._catch_up()
             except Exception as exc:
                 # The task must go on, because nothing restarts it. Each message
-                # from a peer with a higher revision sets the event again.
+                # from a peer at a later position sets the event again.
                 journal.error('feed.failed', error=repr(exc))
                 await asyncio.sleep(RETRY_S)
 
@@ -112,6 +112,8 @@
     def forward_changes(self, after: int) -> None:
         """Send the items read after a revision to other entries, if this is a reader.
 
+        The revision is of the view's era.
+
         The first reader sends at once, to each entry of this region and to two of each
         other region. The second sends only if the first did not do so in time.
         """
@@ -124,14 +126,15 @@
         elif name in readers:
             loop = asyncio.get_running_loop()
             loop.call_later(
-                TAKEOVER_DELAY_S, self._take_over, after, self._view.revision
+                TAKEOVER_DELAY_S, self._take_over, after, self._view.position
             )
 
-    def _take_over(self, after: int, revision: int) -> None:
-        """Send the items up to a revision if no other entry has sent them."""
-        if self._forwarded_revision < revision:
-            journal.info('items.stood_in', after=after, revision=revision)
-            self._send_changes(after)
+    def _take_over(self, after: int, read_up_to: positions.Position) -> None:
+        """Send the items up to a position if no other entry has sent them."""
+        if read_up_to.era != self._view.era or self._forwarded_at >= read_up_to:
+            return
+        journal.info('items.stood_in', after=after, revision=read_up_to.revision)
+        self._send_changes(after)
 
     def _send_changes(self, after: int) -> None:
         """Send the items after a revision, if all removals since are known."""
@@ -194,29 +197,31 @@
     def _handle_items(self, channel: link.Channel, rid: int, body: wire.Items) -> None:
         """Apply items sent by a peer, unless items before them are missing here.
 
-        Missing items are pulled later, as the revision of the peer is higher.
+        Missing items are pulled later, as the peer is at a later position.
         """
-        known = self._view.revision
-        self._forwarded_revision = max(self._forwarded_revision, body.revision)
-        if channel.card is None or body.after > known:
+        known = self._view.position
+        self._forwarded_at = max(self._forwarded_at, body.position)
+        if channel.card is None or (body.era, body.after) > known:
             return
         self._apply(body, channel.card.name)
         # A reader that was paused sends items that others have sent in the meantime.
-        if body.revision > known:
+        if body.position > known:
             self.last_update_at = self._clock()
             if channel.card.region != self._members.card.region:
                 self._send(self._same_region_entries(), body)
 
-    def _record_leader(self, channel: link.Channel, revision: int) -> None:
-        """Record an entry whose revision is higher than that of the view."""
+    def _record_leader(
+        self, channel: link.Channel, position: positions.Position
+    ) -> None:
+        """Record an entry that is at a later position than the view."""
         card = channel.card
-        if card is None or card.role != 'entry' or revision <= self._view.revision:
+        if card is None or card.role != 'entry' or position <= self._view.position:
             return
-        self._leaders[card.name] = _Leader(channel, card, revision)
+        self._leaders[card.name] = _Leader(channel, card, position)
         self._has_leaders.set()
 
     async def _catch_up(self) -> None:
-        """Pull from peers with a higher revision, one at a time, the nearest first.
+        """Pull from peers at a later position, one at a time, the nearest first.
 
         Only one peer is asked at a time, because the items use the same links as calls.
         """
@@ -245,11 +250,11 @@
         return self._view.configuration is not None
 
     def _find_leaders(self) -> list[_Leader]:
-        """Return the peers whose revision is still higher, and drop the others."""
+        """Return the peers whose position is still later, and drop the others."""
         self._leaders = {
             name: leader
             for name, leader in self._leaders.items()
-            if leader.revision > self._view.revision and not leader.channel.closed
+            if leader.position > self._view.position and not leader.channel.closed
         }
         return list(self._leaders.values())
 
@@ -257,10 +262,10 @@
         return leader.card.region == self._members.card.region
 
     async def _pull(self, leader: _Leader) -> None:
-        """Pull the items after the revision of the view from a peer, and apply them."""
+        """Pull the items after the position of the view from a peer, and apply them."""
         began = self._clock()
         name = leader.card.name
-        pull_request = wire.PullItems(self._view.revision)
+        pull_request = wire.PullItems(self._view.revision, self._view.era)
         try:
             body = await leader.channel.request(pull_request, PULL_TIMEOUT_S)
         except (TimeoutError, link.ChannelClosed) as exc:
@@ -273,6 +278,7 @@
             peer=name,
             after=pull_request.after,
             revision=body.revision,
+            era=body.era,
             size=len(body.packed),
             took_s=round(self._clock() - began, 3),
         )
@@ -288,17 +294,21 @@
         # Ages come before the items, so that a version among them has an age at once.
         self._view.version_ages.merge_peer_ages(body.version_ages_s)
         if body.is_snapshot:
-            self._view.apply_snapshot(fleetview.Snapshot(items, body.revision), name)
+            snapshot = fleetview.Snapshot(
+                items, body.revision, body.era, expiring_s=body.expiring_s
+            )
+            self._view.apply_snapshot(snapshot, name)
         else:
             changes = fleetview.Changes(
-                items, body.revision, expiring_s=body.expiring_s
+                items, body.revision, expiring_s=body.expiring_s, era=body.era
             )
             self._view.apply_changes(changes, name)
 
     def _answer_pull(
         self, channel: link.Channel, rid: int, body: wire.PullItems
     ) -> None:
-        is_snapshot = body.after < self._view.history_from
+        history_from = positions.Position(self._view.era, self._view.history_from)
+        is_snapshot = body.position < history_from
         items = self._make_items(
             0 if is_snapshot else body.after, is_snapshot=is_snapshot
         )
@@ -317,6 +327,7 @@
             is_snapshot,
             ages_s,
             dict(changes.expiring_s),
+            changes.era,
         )
 
 
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from primrosesaddle.calls import routes
-from primrosesaddle.fleet import servers
+from primrosesaddle.core import positions
+from primrosesaddle.fleet import items, servers
 from primrosesaddle.staging import pieces, versionages
 from primrosesaddle.telemetry import journal
 
@@ -25,25 +26,30 @@
 PAUSE_THRESHOLD_S = 0.8
 # After a shorter time without a read, changes count as just published.
 UNSEEN_THRESHOLD_S = 0.2
+# The operator publishes evacuations again that a restored store lacks within this time.
+# One that was ended there leaves no trace, so it must not be kept for good.
+EVACUATION_GRACE_S = 10.0
 STORE = 'store'  # source name of records read from the store itself
 # Number of removals kept for peers that request the changes after a revision.
 MAX_REMOVALS = 512
 
 
-class Item(typing.NamedTuple):
-    """One published item; the body is None if the item was removed."""
-
-    key: str
-    body: bytes | None
-    revision: int
+Item = items.Item
 
 
 class Snapshot(typing.NamedTuple):
-    """All items at a revision of an era of the store."""
+    """All items at a revision of an era of the store; other fields as in `Changes`."""
 
     items: list[Item]
     revision: int
     era: int = 0
+    unseen_s: float = 0.0
+    expiring_s: Mapping[str, float] = types.MappingProxyType({})
+
+    @property
+    def position(self) -> positions.Position:
+        """Return the position at which the items were read."""
+        return positions.Position(self.era, self.revision)
 
 
 class Changes(typing.NamedTuple):
@@ -60,6 +66,11 @@
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
     era: int = 0
 
+    @property
+    def position(self) -> positions.Position:
+        """Return the position up to which changes are included."""
+        return positions.Position(self.era, self.revision)
+
 
 class _Origin(typing.NamedTuple):
     """Where items came from; see `Changes` for the fields."""
@@ -76,6 +87,10 @@
 class View:
     """Published records by key; an older revision never replaces a newer one.
 
+    Revisions are compared within one era of the store. A restored store may hold older
+    states of items than are known, and lack some. What is known then stays in force
+    until it is published again, for a limited time if the store lacks it.
+
     `configuration`, `servers` (by server id) and `evacuations` (by key) are the decoded
     records, `version_ages` the ages of announced versions. `listeners` are called after
     a change.
@@ -97,6 +112,7 @@
         self._clock = clock
         self._items: dict[str, Item] = {}
         self._removed: dict[str, Item] = {}
+        self._history = items.ItemHistory()
         self._expiring_at: dict[str, float] = {}
         self._store_recovered_at = -EXPIRY_GRACE_S
         self._server_ids_by_key: dict[str, str] = {}
@@ -105,15 +121,27 @@
         self._last_expiry_check_at: float | None = None
         self._pause_s = 0.0
         self._pause_relevant_until = 0.0
+        self._configuration_era = 0
+        self._configuration_body: bytes | None = None
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
         self.evacuations: dict[str, servers.Evacuation] = {}
         self.version_ages = versionages.VersionAges(clock, assumed_age_s)
+        self.era = 0
         self.revision = 0
         self.listeners: list[Listener] = []
 
     def apply_snapshot(self, snapshot: Snapshot, source: str) -> None:
-        """Apply a snapshot; remove known items that it lacks, unless they are newer."""
+        """Apply a snapshot; remove known items that it lacks, unless they are newer.
+
+        A snapshot of an earlier era is ignored. Those of a later one are the only way
+        into that era, as changes do not tell what the restored store lacks.
+        """
+        if snapshot.era < self.era:
+            return
+        is_restored = snapshot.era > self.era
+        if is_restored:
+            self._begin_era(snapshot, source)
         present = {item.key for item in snapshot.items}
         absent = [
             Item(key, None, snapshot.revision)
@@ -123,16 +151,30 @@
         if snapshot.revision > self.revision:
             # Items added and removed in between are not among the known removals.
             self._history_from = snapshot.revision
-        self.apply_changes(
-            Changes([*snapshot.items, *absent], snapshot.revision), source
+        expiring_s = snapshot.expiring_s
+        if is_restored:
+            graces_s = {
+                item.key: self._restoration_grace_s(item.key) for item in absent
+            }
+            expiring_s = {**graces_s, **expiring_s}
+        changes = Changes(
+            [*snapshot.items, *absent],
+            snapshot.revision,
+            snapshot.unseen_s,
+            expiring_s,
+            snapshot.era,
         )
+        self.apply_changes(changes, source)
 
     def apply_changes(self, changes: Changes, source: str) -> None:
         """Apply changes; `source` is `STORE` or the name of a peer.
 
         Changes from a peer up to a revision lower than the own one are ignored, because
-        they may contain items that have been removed since.
+        they may contain items that have been removed since, and changes of another era
+        because their revisions cannot be compared.
         """
+        if changes.era != self.era:
+            return
         if source != STORE and changes.revision < self.revision:
             return
         origin = _Origin(source, self._unseen_s(source, changes), changes.expiring_s)
@@ -148,27 +190,32 @@
         """Record that the store answers again after an outage."""
         self._store_recovered_at = self._clock()
 
+    @property
+    def position(self) -> positions.Position:
+        """Return the position up to which all changes are known."""
+        return positions.Position(self.era, self.revision)
+
     @property
     def history_from(self) -> int:
-        """Return the revision after which all removals are known."""
+        """Return the revision of this era after which all removals are known."""
         return self._history_from
 
     def get_changes_since(self, revision: int) -> Changes:
         """Return the items and removals after a revision, for a peer."""
         newer = [
             item
-            for items in (self._items, self._removed)
-            for item in items.values()
+            for known in (self._items, self._removed)
+            for item in known.values()
             if item.revision > revision
         ]
         now = self._clock()
         lapsing_s = {
             key: expires_at - now for key, expires_at in self._expiring_at.items()
         }
-        return Changes(newer, self.revision, expiring_s=lapsing_s)
+        return Changes(newer, self.revision, expiring_s=lapsing_s, era=self.era)
 
     def drop_expired_servers(self) -> None:
-        """Drop servers whose records expired and were not published again in time.
+        """Drop records that the store lost and that were not published again in time.
 
         Call it regularly: a gap between calls is taken for a pause of the process.
         """
@@ -179,10 +226,52 @@
         ]
         for key in expired:
             self._expiring_at.pop(key)
-            self._drop_server(key, 'not published again after the outage')
+            self._drop_record(key, 'not published again after the outage')
         if expired:
             self._call_listeners()
 
+    def _begin_era(self, snapshot: Snapshot, source: str) -> None:
+        """Order all known items anew, by the revisions of a restored store.
+
+        An item that was known before in the state that is listed now tells nothing new,
+        so the newest known state of its key takes its place. All others give way.
+        """
+        listed = {item.key: item for item in snapshot.items if item.body is not None}
+        for item in self._items.values():
+            self._history.record(item)
+        known_keys = self._history.find_known(listed.values())
+
+        def renumber(known: Mapping[str, Item]) -> dict[str, Item]:
+            return {
+                key: item._replace(
+                    revision=listed[key].revision if key in known_keys else 0
+                )
+                for key, item in known.items()
+            }
+
+        outdated = [
+            key
+            for key in known_keys
+            if key in self._removed or self._items[key].body != listed[key].body
+        ]
+        if self.position != positions.START:
+            journal.warning(
+                'store.era',
+                era=snapshot.era,
+                before=self.era,
+                revision=snapshot.revision,
+                known=self.revision,
+                outdated=outdated,
+                source=source,
+            )
+        self._items = renumber(self._items)
+        self._removed = renumber(self._removed)
+        self.era, self.revision, self._history_from = snapshot.era, 0, 0
+
+    def _restoration_grace_s(self, key: str) -> float:
+        """Return for how long a record is kept that a restored store lacks."""
+        return EVACUATION_GRACE_S if key in self.evacuations else EXPIRY_GRACE_S
+
     def _apply_item(self, item: Item, origin: _Origin) -> bool:
         """Apply an item, and tell whether a decoded record changed."""
         known = self._items.get(item.key) or self._removed.get(item.key)
@@ -190,6 +279,8 @@
             return False
         if item.body is None:
             return self._remove(item, origin)
+        if known is not None and known.body is not None:
+            self._history.record(known)
         self._removed.pop(item.key, None)
         self._expiring_at.pop(item.key, None)
         self._items[item.key] = item
@@ -222,7 +313,7 @@
         self, record: routes.Configuration, item: Item, source: str
     ) -> bool:
         known = self.configuration
-        if known is not None and record.version <= known.version:
+        if known is not None and not self._is_newer_configuration(record, item):
             journal.warning(
                 'configuration.older',
                 version=record.version,
@@ -231,6 +322,8 @@
             )
             return False
         self.configuration = record
+        self._configuration_era = self.era
+        self._configuration_body = item.body
         journal.info(
             'configuration.adopted',
             version=record.version,
@@ -241,6 +334,18 @@
         )
         return True
 
+    def _is_newer_configuration(self, record: routes.Configuration, item: Item) -> bool:
+        """Tell whether a configuration replaces the one in force.
+
+        After a restoration another one may be published with the version in force.
+        """
+        known_version = 0 if self.configuration is None else self.configuration.version
+        if record.version != known_version:
+            return record.version > known_version
+        return (
+            self.era > self._configuration_era and item.body != self._configuration_body
+        )
+
     def _adopt_server(
         self, record: servers.BackendServer, item: Item, source: str
     ) -> bool:
@@ -311,28 +416,40 @@
         self._last_expiry_check_at = now
 
     def _remove(self, item: Item, origin: _Origin) -> bool:
-        self._items.pop(item.key, None)
+        removed = self._items.pop(item.key, None)
+        if removed is not None:
+            self._history.record(removed)
         self._removed[item.key] = item
         while len(self._removed) > MAX_REMOVALS:
             oldest = self._removed.pop(next(iter(self._removed)))
+            self._history.forget(oldest.key)
             self._history_from = max(self._history_from, oldest.revision)
         grace_s = self._remaining_grace_s(item.key, origin)
-        if grace_s > 0 and item.key in self._server_ids_by_key:
+        if grace_s > 0:
             self._expiring_at[item.key] = self._clock() + grace_s
-            journal.info('server.lapsed', key=item.key, kept_s=round(grace_s, 2))
+            kind = 'server' if item.key in self._server_ids_by_key else 'evacuation'
+            journal.info(f'{kind}.lapsed', key=item.key, kept_s=round(grace_s, 2))
             return False
-        if self.evacuations.pop(item.key, None) is not None:
-            journal.info('evacuation.ended', key=item.key, source=origin.source)
-            return True
-        return self._drop_server(item.key, f'removed, reported by {origin.source}')
+        return self._drop_record(item.key, f'removed, reported by {origin.source}')
 
     def _remaining_grace_s(self, key: str, origin: _Origin) -> float:
-        """Return for how many seconds a removed item is kept, as it may come back."""
+        """Return for how many seconds a removed record is kept, as it may come back."""
+        if key in self.evacuations:
+            return origin.expiring_s.get(key, 0.0)
+        if key not in self._server_ids_by_key:
+            return 0.0
         since_recovery_s = self._clock() - self._store_recovered_at
         if since_recovery_s <= OUTAGE_REMOVAL_WINDOW_S:
             return EXPIRY_GRACE_S - since_recovery_s
         return origin.expiring_s.get(key, 0.0)
 
+    def _drop_record(self, key: str, why: str) -> bool:
+        """Remove the evacuation or server of a key; tell whether there was one."""
+        if self.evacuations.pop(key, None) is not None:
+            journal.info('evacuation.ended', key=key, why=why)
+            return True
+        return self._drop_server(key, why)
+
     def _drop_server(self, key: str, why: str) -> bool:
         """Remove the server published under a key; tell whether there was one."""
         server_id = self._server_ids_by_key.pop(key, None)
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -10,7 +10,7 @@
 import typing
 from collections.abc import Callable
 
-from primrosesaddle.core import backoff
+from primrosesaddle.core import backoff, positions
 from primrosesaddle.fleet import feed, fleetview
 from primrosesaddle.net import call
 from primrosesaddle.telemetry import journal
@@ -52,11 +52,13 @@
     async def wait_changes(self, after: int, wait_s: float) -> fleetview.Changes | None:
         """Return the changes after a revision, or None if the history is gone.
 
+        They are of the era that the store is in, which may not be that of the revision.
+
         If there are none, wait up to `wait_s` seconds for one.
         """
 
-    async def revision(self) -> int:
-        """Return the revision of the newest change."""
+    async def position(self) -> positions.Position:
+        """Return the position of the newest change."""
 
 
 class Reader:
@@ -87,12 +89,11 @@
         self._failing_since = 0.0
         self._others_served_at: float | None = None  # first evidence of that
         self._regained_at = 0.0
-        self.store_era = 0  # of the last answer
-        self._after: int | None = None
+        self._has_read = False  # all items, and every change since
         # The store no longer has the changes after this revision. All items are read,
         # unless a peer has sent what is missing: reads by all entries at once would
         # fill the links between regions for longer than a read may take.
-        self._history_gone_after = 0
+        self._history_gone_at = positions.START
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
@@ -117,10 +118,12 @@
 
     async def refresh(self) -> None:
         """Read what has changed at once, as after a pause of this process."""
-        after = self._view.revision
+        known = self._view.position
         try:
-            changes = await self._source.wait_changes(after, 0.0) if after else None
-            if changes is None:
+            changes = None
+            if known.revision:
+                changes = await self._source.wait_changes(known.revision, 0.0)
+            if changes is None or changes.era != known.era:
                 self._view.apply_snapshot(
                     await self._source.read_all(), fleetview.STORE
                 )
@@ -132,7 +135,7 @@
     @property
     def is_store_reachable(self) -> bool:
         """Tell whether the store answers this process."""
-        return self._after is not None and not self._failures
+        return self._has_read and not self._failures
 
     def _is_fed_by_peers(self) -> bool:
         """Tell whether another entry has sent recently what it read."""
@@ -145,23 +148,24 @@
         return max(self._last_read_at, self._feed.last_update_at)
 
     async def _update(self) -> None:
-        before = self._view.revision
-        if self._after is None and before <= self._history_gone_after:
+        before = self._view.position
+        if not self._has_read and before <= self._history_gone_at:
             await self._read_all()
-        elif self._after is None or self._feed.is_reader():
+        elif not self._has_read or self._feed.is_reader():
             await self._read_changes()
         else:
-            await self._check_revision()
-        if before:
-            self._feed.forward_changes(before)
+            await self._check_position()
+        if before.revision and before.era == self._view.era:
+            self._feed.forward_changes(before.revision)
 
     async def _read_all(self) -> None:
         began_at = self._clock()
+        known = self._view.position
         snapshot = await self._source.read_all()
+        _check_not_behind(snapshot.position, known)
         self._record_success(began_at)
-        self._record_position(snapshot.era, snapshot.revision)
         self._view.apply_snapshot(snapshot, fleetview.STORE)
-        self._after = snapshot.revision
+        self._has_read = True
         journal.info(
             'store.read',
             items=len(snapshot.items),
@@ -170,28 +174,28 @@
         )
 
     async def _read_changes(self) -> None:
-        after = max(self._view.revision, self._after or 0)
+        known = self._view.position
         is_watching = self.is_store_reachable and self._feed.is_reader()
         last_update_at = self._last_update_at
         began_at = self._clock()
         changes = await self._source.wait_changes(
-            after, self._watch_timeout_s(is_watching)
+            known.revision, self._watch_timeout_s(is_watching)
         )
         answered_at = self._clock()
         # A watch reports a change at once, so nothing was unseen after it began.
         unseen_s = (began_at if is_watching else answered_at) - last_update_at
         if self._is_outage:
             unseen_s = 0.0
-        if changes is None:
+        if changes is None or changes.era > known.era:
             # The end of an outage is recorded by the read of all items that follows.
-            journal.info('store.history_gone', after=after)
-            self._after = None
-            self._history_gone_after = after
+            journal.info('store.history_gone', after=known.revision, era=known.era)
+            self._has_read = False
+            self._history_gone_at = known
             return
+        _check_not_behind(changes.position, known)
         self._record_success(answered_at if is_watching else began_at)
-        self._record_position(changes.era, changes.revision)
         self._view.apply_changes(changes._replace(unseen_s=unseen_s), fleetview.STORE)
-        self._after = max(after, changes.revision)
+        self._has_read = True
 
     def _watch_timeout_s(self, is_watching: bool) -> float:
         """Return for how many seconds the store may wait for a change."""
@@ -200,34 +204,21 @@
         is_new = self._clock() - self._regained_at < READER_SELECTION_S
         return READER_SELECTION_WATCH_S if is_new else WATCH_TIMEOUT_S
 
-    async def _check_revision(self) -> None:
+    async def _check_position(self) -> None:
         """Read changes that the store has and that no peer has sent in time."""
         began_at = self._clock()
-        revision = await self._source.revision()
+        known = self._view.position
+        newest = await self._source.position()
+        _check_not_behind(newest, known)
         receive_until = self._clock() + self._receive_timeout_s
-        while self._view.revision < revision:
+        while self._view.position < newest:
             if self._clock() >= receive_until:
-                journal.info(
-                    'store.untold', revision=revision, known=self._view.revision
-                )
+                journal.info('store.untold', newest=newest, known=self._view.position)
                 await self._read_changes()
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
         self._record_success(began_at)
 
-    def _record_position(self, era: int, revision: int) -> None:
-        """Record the position of an answer, and log if the store has gone back."""
-        if era != self.store_era:
-            if self.store_era:
-                journal.warning(
-                    'store.era', era=era, before=self.store_era, revision=revision
-                )
-            self.store_era = era
-        if revision < self._view.revision:
-            journal.warning(
-                'store.behind', era=era, revision=revision, known=self._view.revision
-            )
-
     def _record_failure(self, exc: Exception) -> None:
         self._failures += 1
         if self._failures == 1:
@@ -273,3 +264,13 @@
         self._failures = 0
         away_s = round(self._clock() - self._failing_since, 3)
         journal.info('store.regained', away_s=away_s, alone=self._is_own_outage)
+
+
+def _check_not_behind(answered: positions.Position, known: positions.Position) -> None:
+    """Raise `call.CallFailed` if the store answers from before what was known.
+
+    Nothing can be read from such a store until it has caught up.
+    """
+    if answered < known:
+        journal.warning('store.behind', answered=answered, known=known)
+        raise call.CallFailed(f'the store is at {answered}, behind {known}')
--- a/src/primrosesaddle/membership/dispatching.py
+++ b/src/primrosesaddle/membership/dispatching.py
@@ -3,6 +3,7 @@
 import typing
 from collections.abc import Callable
 
+from primrosesaddle.core import positions
 from primrosesaddle.membership import link, wire
 from primrosesaddle.telemetry import journal
 
@@ -14,15 +15,15 @@
 class MessageDispatcher:
     """Pass each received message to the receiver registered for its type.
 
-    `on_revision` is called with the channel and the sender's revision for every
-    message received. `get_revision` returns the revision sent with every message.
+    `on_position` is called with the channel and the sender's position for every
+    message received. `get_position` returns the position sent with every message.
     """
 
     def __init__(self) -> None:
         """Create a dispatcher without receivers."""
         self._receivers: dict[type, Receiver] = {}
-        self.on_revision: Callable[[link.Channel, int], None] = _ignore_revision
-        self.get_revision: Callable[[], int] = int
+        self.on_position: link.PositionListener = _ignore_position
+        self.get_position: Callable[[], positions.Position] = _get_start
 
     def register(self, kind: type, receiver: Receiver) -> None:
         """Call a receiver with the messages of a type."""
@@ -49,10 +50,15 @@
         """Return link hooks that call this dispatcher."""
         return link.Hooks(
             self.dispatch,
-            lambda channel, revision: self.on_revision(channel, revision),
-            lambda: self.get_revision(),
+            lambda channel, position: self.on_position(channel, position),
+            lambda: self.get_position(),
         )
 
 
-def _ignore_revision(channel: link.Channel, revision: int) -> None:
-    """Do nothing: the default until the owner of the revisions sets its own."""
+def _ignore_position(channel: link.Channel, position: positions.Position) -> None:
+    """Do nothing: the default until the owner of the positions sets its own."""
+
+
+def _get_start() -> positions.Position:
+    """Return the first position: the default, as for `_ignore_position`."""
+    return positions.START
--- a/src/primrosesaddle/membership/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -11,6 +11,7 @@
 import zmq.asyncio
 import zmq.auth.asyncio
 
+from primrosesaddle.core import positions
 from primrosesaddle.membership import messagesocket, wire
 from primrosesaddle.telemetry import journal
 
@@ -22,7 +23,7 @@
 CLOSE_LINGER_MS = 200  # for the last messages of a process, as that it leaves
 
 MessageHandler = Callable[['Channel', int, wire.Body], None]
-RevisionListener = Callable[['Channel', int], None]
+PositionListener = Callable[['Channel', positions.Position], None]
 _SendFrames = Callable[[list[bytes]], object]
 
 
@@ -79,15 +80,17 @@
     """
 
     def __init__(
-        self, send_frames: _SendFrames, get_revision: Callable[[], int]
+        self,
+        send_frames: _SendFrames,
+        get_position: Callable[[], positions.Position],
     ) -> None:
         """Create a channel.
 
-        `send_frames` sends encoded messages; `get_revision` returns the revision that
+        `send_frames` sends encoded messages; `get_position` returns the position that
         is sent with every message.
         """
         self._send_frames = send_frames
-        self._get_revision = get_revision
+        self._get_position = get_position
         self._next_request_ids = itertools.count(1)
         self._pending: dict[int, Stream] = {}
         self._outbox: list[bytes] = []
@@ -105,7 +108,8 @@
             return
         if not self._outbox:
             asyncio.get_running_loop().call_soon(self._flush)
-        envelope = wire.Envelope(self._get_revision(), rid, reply, body)
+        at = self._get_position()
+        envelope = wire.Envelope(at.revision, rid, reply, body, at.era)
         self._outbox.append(wire.encode(envelope))
 
     def open_stream(self, body: wire.Body) -> Stream:
@@ -167,13 +171,13 @@
 class Hooks:
     """Functions that a link calls.
 
-    `handler` gets each message that is no reply, and `on_revision` the revision sent
-    with every message. `get_revision` returns the own revision.
+    `handler` gets each message that is no reply, and `on_position` the position sent
+    with every message. `get_position` returns the own position.
     """
 
     handler: MessageHandler
-    on_revision: RevisionListener
-    get_revision: Callable[[], int]
+    on_position: PositionListener
+    get_position: Callable[[], positions.Position]
 
 
 class RouterLink:
@@ -238,7 +242,7 @@
                 return None
         if isinstance(envelope.body, wire.Hello):
             channel.card = envelope.body.card
-        self._hooks.on_revision(channel, envelope.revision)
+        self._hooks.on_position(channel, envelope.position)
         channel.deliver(envelope, self._hooks.handler)
         return channel
 
@@ -247,7 +251,7 @@
             journal.warning('link.full', sessions=len(self._sessions))
             return None
         channel = Channel(
-            lambda frames: self._send(identity, frames), self._hooks.get_revision
+            lambda frames: self._send(identity, frames), self._hooks.get_position
         )
         self._sessions[identity] = channel
         return channel
@@ -263,9 +267,8 @@
             journal.info('link.gone', peer=peer, messages=len(frames))
 
     def _send_not_introduced(self, identity: bytes) -> None:
-        envelope = wire.Envelope(
-            self._hooks.get_revision(), 0, False, wire.NotIntroduced()
-        )
+        at = self._hooks.get_position()
+        envelope = wire.Envelope(at.revision, 0, False, wire.NotIntroduced(), at.era)
         self._send(identity, [wire.encode(envelope)])
 
 
@@ -283,7 +286,7 @@
         self._hooks = hooks
         self._hello = hello
         self._messages = messagesocket.MessageSocket(sock, self._receive)
-        self.channel = Channel(self._messages.send, hooks.get_revision)
+        self.channel = Channel(self._messages.send, hooks.get_position)
         self._monitor = messagesocket.MessageSocket(
             sock.get_monitor_socket(zmq.EVENT_DISCONNECTED),
             lambda _: self.channel.close(),
@@ -311,7 +314,7 @@
             return
         if isinstance(envelope.body, wire.Hello):
             self._set_card(envelope.body.card)
-        self._hooks.on_revision(self.channel, envelope.revision)
+        self._hooks.on_position(self.channel, envelope.position)
         self.channel.deliver(envelope, self._hooks.handler)
 
     def _set_card(self, card: wire.Card) -> None:
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from primrosesaddle.configuration import catalogue
-from primrosesaddle.core import layers
+from primrosesaddle.core import layers, positions
 
 __all__ = ('Envelope', 'decode', 'encode')
 
@@ -228,14 +228,22 @@
 
 
 class PullItems(msgspec.Struct, tag=22, array_like=True, frozen=True):
-    """Request for the published items after a revision."""
+    """Request for the published items after a revision of an era."""
 
     after: int
+    era: int = 0
+
+    @property
+    def position(self) -> positions.Position:
+        """Return the position after which items are requested."""
+        return positions.Position(self.era, self.after)
 
 
 class Items(msgspec.Struct, tag=23, array_like=True, frozen=True):
     """Published items after one revision and up to another, packed by the feed.
 
+    Both revisions are of `era`.
+
     With `is_snapshot`, items that are missing here have been removed. `version_ages_s`
     maps version labels to seconds since their announcement. `expiring_s` maps keys of
     removed items to the seconds for which they are still kept, because they may be
@@ -248,6 +256,12 @@
     is_snapshot: bool
     version_ages_s: dict[str, float]
     expiring_s: dict[str, float] = {}
+    era: int = 0
+
+    @property
+    def position(self) -> positions.Position:
+        """Return the position up to which items are included."""
+        return positions.Position(self.era, self.revision)
 
 
 class ServerState(msgspec.Struct, tag=24, array_like=True, frozen=True):
@@ -416,7 +430,7 @@
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
-    """One message with the sender's revision and the id of its request, 0 for none.
+    """One message with the sender's position and the id of its request, 0 for none.
 
     `reply` tells that `rid` was assigned by the receiver of this message.
     """
@@ -425,6 +439,12 @@
     rid: int
     reply: bool
     body: Body
+    era: int = 0
+
+    @property
+    def position(self) -> positions.Position:
+        """Return the sender's position."""
+        return positions.Position(self.era, self.revision)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/primrosesaddle/platform/store.py
+++ b/src/primrosesaddle/platform/store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from primrosesaddle.core import positions
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.net import call
 from primrosesaddle.platform import jsonbody, names
@@ -56,21 +57,23 @@
     async def read_all(self) -> fleetview.Snapshot:
         """Return every item, page by page, at the revision of the first page.
 
-        Raises `call.CallFailed`.
+        Raises `call.CallFailed`, also if the store was restored between two pages.
         """
         found: list[fleetview.Item] = []
         after = ''
-        first_revision: int | None = None
+        first: positions.Position | None = None
         while True:
             query = urllib.parse.urlencode({'prefix': WATCHED_PREFIX, 'after': after})
             page, era = await self._read_json(
                 self._reads, f'{names.RANGE_PATH}?{query}', READ_TIMEOUT_S, _RANGE
             )
-            if first_revision is None:
-                first_revision = page.store_revision
+            if first is None:
+                first = positions.Position(era, page.store_revision)
+            if era != first.era:
+                raise call.CallFailed(f'era {first.era} ended during a read of all')
             found.extend(_decode_item(item) for item in page.items)
             if not page.truncated or not page.items:
-                return fleetview.Snapshot(found, first_revision, era)
+                return fleetview.Snapshot(found, first.revision, era)
             after = page.items[-1].key
 
     async def wait_changes(self, after: int, wait_s: float) -> fleetview.Changes | None:
@@ -96,16 +99,16 @@
             era=era,
         )
 
-    async def revision(self) -> int:
-        """Return the revision of the newest change of any item.
+    async def position(self) -> positions.Position:
+        """Return the position of the newest change of any item.
 
         Raises `call.CallFailed`.
         """
         # The answer includes the items under this prefix, which are few and small.
         query = urllib.parse.urlencode({'prefix': names.VERSION_PREFIX})
         target = f'{names.RANGE_PATH}?{query}'
-        page, _ = await self._read_json(self._reads, target, READ_TIMEOUT_S, _RANGE)
-        return int(page.store_revision)
+        page, era = await self._read_json(self._reads, target, READ_TIMEOUT_S, _RANGE)
+        return positions.Position(era, page.store_revision)
 
     async def _read_json(
         self,
--- a/src/primrosesaddle/process/entry.py
+++ b/src/primrosesaddle/process/entry.py
@@ -133,7 +133,7 @@
         self._guard.report(self._metrics, self._request_intake, body_budget)
         self._reader = self._make_reader()
         self.mesh.is_store_reachable = lambda: self._reader.is_store_reachable
-        self._metrics.gauge('store_era', lambda: self._reader.store_era)
+        self._metrics.gauge('store_era', lambda: self._view.era)
         self._metrics.gauge('store_revision', lambda: self._view.revision)
         self._path_delay_s = 0.0
         self._stop_by = math.inf
--- a/src/primrosesaddle/roles.py
+++ b/src/primrosesaddle/roles.py
@@ -13,7 +13,7 @@
 
 from primrosesaddle import settings
 from primrosesaddle.configuration import catalogue, replica
-from primrosesaddle.core import addresses, kernel
+from primrosesaddle.core import addresses, kernel, positions
 from primrosesaddle.gateway import (
     atmostonce,
     callers,
@@ -175,8 +175,10 @@
         process.rand,
     )
     chain = process.kernel.find('audit')
-    dispatcher.on_revision = catalogue_replica.pull_if_newer
-    dispatcher.get_revision = lambda: catalogue_replica.revision
+    dispatcher.on_position = lambda channel, position: catalogue_replica.pull_if_newer(
+        channel, position.revision
+    )
+    dispatcher.get_position = lambda: positions.Position(0, catalogue_replica.revision)
     dispatcher.register(wire.PullCatalogue, catalogue_replica.answer_pull)
     catalogue_replica.listeners.append(
         lambda cat: chain.record('adopted', revision=cat.revision, digest=cat.digest),
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -163,14 +163,19 @@
         self.closed = False
         self.sent = []
 
-    def send(self, body):
+    def send(self, body, rid=0, *, reply=False):
         """Record a message that the entry sends to this peer."""
         self.sent.append(body)
 
-    def receive_items(self, packed, after, revision):
-        body = wire.Items(packed, after, revision, is_snapshot=False, version_ages_s={})
+    def receive_items(self, packed, after, revision, era=0):
+        body = wire.Items(
+            packed, after, revision, is_snapshot=False, version_ages_s={}, era=era
+        )
         self._dispatcher.dispatch(self, 0, body)
 
+    def receive_pull(self, after, era):
+        self._dispatcher.dispatch(self, 1, wire.PullItems(after, era))
+
 
 def _card(name):
     return wire.Card(name, 'entry', f'{name}-1', '10.0.0.1:1', 'r1', 'd1')
@@ -214,6 +219,32 @@
     fed(check)
 
 
+@pytest.mark.parametrize(('era', 'after'), [(1, 3), (3, 1)])
+def test_items_of_another_era_are_not_applied(fed, era, after):
+    """Their revisions may be lower or higher than those of this era by chance."""
+
+    def check(view, peer):
+        view.apply_snapshot(fleetview.Snapshot([], 3, 2), 'store')
+        peer.receive_items(_packed_version(2, 9), after=after, revision=9, era=era)
+        _assert_equal((view.position, view.version_ages.get_newest('m')), ((2, 3), 0))
+
+    fed(check)
+
+
+@pytest.mark.parametrize(('after', 'era'), [(9, 1), (2, 2)])
+def test_peer_that_may_lack_removals_is_sent_all_items(fed, after, era):
+    """A peer in an earlier era may be at a higher revision."""
+
+    def check(view, peer):
+        view.apply_snapshot(fleetview.Snapshot([], 3, 2), 'store')
+        peer.receive_pull(after, era)
+        _assert_equal(
+            [(body.is_snapshot, body.position) for body in peer.sent], [(True, (2, 3))]
+        )
+
+    fed(check)
+
+
 @pytest.mark.parametrize(
     'packed',
     [b'no items', feed.pack_items([])[:-1], zlib.compress(msgspec.msgpack.encode(7))],
--- a/tests/test_messagesocket.py
+++ b/tests/test_messagesocket.py
@@ -130,10 +130,13 @@
 CLOSE_LINKS = """
 import asyncio
 from demo import ports
+from primrosesaddle.core import positions
 from primrosesaddle.membership import link, wire
 
 async def main():
-    hooks = link.Hooks(lambda *message: None, lambda *revision: None, int)
+    hooks = link.Hooks(
+        lambda *message: None, lambda *position: None, lambda: positions.START
+    )
     hello = wire.Hello(wire.Card('a', 'entry', '1', '', 'r', 'd'), False)
     for number in range(300):
         address = ports.free_address()
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -7,6 +7,7 @@
 import pytest
 from testtools import assertions, matchers
 
+from primrosesaddle.core import positions
 from primrosesaddle.fleet import fleetview, reader
 from primrosesaddle.net import call
 from primrosesaddle.platform import records
@@ -22,6 +23,7 @@
     def __init__(self):
         self.items = []
         self.newest_revision = 5
+        self.era = 0
         self.requests = []
         self.faults = []
         self.delay_s = 0.0
@@ -29,7 +31,7 @@
 
     async def read_all(self):
         await self._answer('all')
-        return fleetview.Snapshot(list(self.items), self.newest_revision)
+        return fleetview.Snapshot(list(self.items), self.newest_revision, self.era)
 
     async def wait_changes(self, after, wait_s):
         await self._answer('changes')
@@ -39,12 +41,14 @@
         if after >= self.newest_revision:
             await asyncio.sleep(wait_s)
         return fleetview.Changes(
-            [item for item in self.items if item.revision > after], self.newest_revision
+            [item for item in self.items if item.revision > after],
+            self.newest_revision,
+            era=self.era,
         )
 
-    async def revision(self):
+    async def position(self):
         await self._answer('revision')
-        return self.newest_revision
+        return positions.Position(self.era, self.newest_revision)
 
     async def _answer(self, kind):
         self.requests.append(kind)
@@ -364,3 +368,57 @@
         _assert_equal(await _is_kept_after(fixture, change), True)
 
     reading(check)
+
+
+@pytest.mark.parametrize('is_reader', [True, False])
+@pytest.mark.parametrize('newest_revision', [3, 9])
+def test_restored_store_is_read_as_a_whole(reading, is_reader, newest_revision):
+    """Changes after a revision of an earlier era leave out what came before it."""
+
+    async def check(fixture):
+        fixture.store.items.append(_server_item('a', 2))
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.feed.is_selected = is_reader
+        fixture.store.items.append(_server_item('b', 3))
+        fixture.store.newest_revision = newest_revision
+        fixture.store.era = 1
+        await _until(lambda: 'b' in fixture.view.servers)
+        _assert_equal(fixture.view.position, (1, newest_revision))
+
+    reading(check)
+
+
+def test_entry_reads_a_restored_store_as_a_whole_after_a_pause(reading):
+    """The store may have been restored during the pause."""
+
+    async def check(fixture):
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.store.items.append(_server_item('a', 3))
+        fixture.store.era = 1
+        await fixture.reader.refresh()
+        _assert_equal(list(fixture.view.servers), ['a'])
+
+    reading(check)
+
+
+@pytest.mark.parametrize(('era', 'revision'), [(1, 9), (2, 4)])
+def test_store_behind_what_peers_know_is_asked_few_times(reading, era, revision):
+    """Guards against thousands of reads a second, each of which tells nothing new."""
+
+    async def check(fixture):
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.feed.is_selected = True
+        snapshot = fleetview.Snapshot([_server_item('a', 5)], 5, 2)
+        fixture.view.apply_snapshot(snapshot, 'peer')
+        fixture.store.era, fixture.store.newest_revision = era, revision
+        fixture.store.requests.clear()
+        await asyncio.sleep(1.0)
+        _assert_equal(
+            (list(fixture.view.servers), fixture.reader.is_store_reachable),
+            (['a'], False),
+        )
+        assertions.assert_that(
+            len(fixture.store.requests), matchers.LessThan(1.0 / reader.RETRY_FIRST_S)
+        )
+
+    reading(check)
