View: a record replaces the known one by its revision, whatever its start says

Callers' requests reached a draining server for as long as it ran. The server had crashed and started again under its id, and its machine's clock had been set back in between, so that its new start was the lower number. The view took the records of the new start for late ones of the old start and dropped all of them, the draining too.

The order of two records of one key is the store's revision, and `_apply_item` goes by it already.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -243,9 +243,6 @@
         self, record: servers.BackendServer, item: Item, source: str
     ) -> bool:
         known = self.servers.get(record.server_id)
-        if known is not None and record.start_time_ms < known.start_time_ms:
-            journal.info('server.older_start', server=record.server_id)
-            return False
         self._server_ids_by_key[item.key] = record.server_id
         self.servers[record.server_id] = record
         if record == known:
