Backends: which start of a server is the later one follows from what came when

Calls were kept from a server that had started again after its machine's clock was set back, for as long as its agent was silent: the last report of the start before stated the higher number, and so passed for one of a later start, also for a server of another id at that address. A crash check took the server for ended for the same reason. And while an agent reported a start that was the lower number, the record of the start before still counted: calls were sent there by weights that the new start may not hold, and a crash check did not see the end.

A start is a time of day. A server now counts as replaced if its agent's report states another start than the record and was received more than 0.8 s after that start became known here. Agents report every 0.2 to about 0.5 s, so the last report of the start before comes earlier than that. What an agent reported before the record came has no effect.

--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -27,6 +27,8 @@
 # A server is ejected when its failure share exceeds its service's median by this much.
 EJECT_SHARE = 0.35
 LOAD_STALE_S = 1.0  # how long a load that came with an answer is used
+# A report of the start before a record's may arrive as late as this after the record.
+LATE_REPORT_S = REPORT_STALE_S
 
 
 class CallStage(enum.Enum):
@@ -76,7 +78,8 @@
     `failure_share_before` is the failure share as of `last_outcome_at`.
     `passing_calls` counts the calls of this entry that begin at another server of a
     chain and pass through this one. Until `quiet_until` the server wants no calls.
-    `call_listeners` learn how far each call at the server has come.
+    `call_listeners` learn how far each call at the server has come. The server's start
+    is known since `known_at`.
     """
 
     record: servers.BackendServer
@@ -93,6 +96,7 @@
     passing_calls: int = 0
     quiet_until: float = 0.0
     call_listeners: list[CallListener] = dataclasses.field(default_factory=list)
+    known_at: float = 0.0
 
     @property
     def server_id(self) -> str:
@@ -106,10 +110,17 @@
 
     @property
     def is_superseded(self) -> bool:
-        """Return whether the agent reported a later start at this address."""
+        """Return whether the agent reported a later start at this address.
+
+        A start is a time of day, which may have been set back. Which of two is the
+        later one follows from when the record and the report were received.
+        """
         report = self.report
-        record_start_ms = self.record.start_time_ms
-        return report is not None and 0 < record_start_ms < report.start_time_ms
+        return (
+            report is not None
+            and not self._is_of_same_start(report)
+            and report.received_at - self.known_at > LATE_REPORT_S
+        )
 
     @property
     def failure_share(self) -> float:
@@ -125,11 +136,7 @@
         report = self.report
         if report is None or now - report.received_at >= REPORT_STALE_S:
             return None
-        is_same = (
-            not report.start_time_ms
-            or report.start_time_ms == self.record.start_time_ms
-        )
-        return report if is_same or not self.record.start_time_ms else None
+        return report if self._is_of_same_start(report) else None
 
     def count_calls(self, now: float) -> int:
         """Return the number of calls at the server, including other entries' calls."""
@@ -212,6 +219,11 @@
         if not failed:
             self.suspect_count = 0
 
+    def _is_of_same_start(self, report: Report) -> bool:
+        """Return whether a report may be of the start that the record is of."""
+        start_times = {self.record.start_time_ms, report.start_time_ms}
+        return len(start_times) == 1 or 0 in start_times
+
     def _count_other_calls(self, now: float) -> int:
         """Return the number of other entries' calls, 0 when it is stale."""
         if now - self.load.read_at > LOAD_STALE_S:
@@ -266,6 +278,7 @@
                     self._clock,
                     report=self._reports.get(record.address),
                     call_listeners=self.call_listeners,
+                    known_at=self._clock(),
                 )
                 known.quiet_until = self._notices.get_quiet_until(known.incarnation)
                 self._by_id[server_id] = known
