Backends: calls of the start before don't count as load of a restarted server

A server that had just started again could seem busy for up to a second: a late report of its agent, of the start before, was not used for what the server holds, but its calls were added to the server's load. A report of another start than the record's now leaves the load as it is.

Both cases of test_calls_of_the_start_before_do_not_count failed before (4 calls in place of 0). tests of restarted servers, view, leaving, notices, coldstart, crashes, balance, overload and platform_calls: none failed in one run.

--- a/src/primrosesaddle/calls/backends.py
+++ b/src/primrosesaddle/calls/backends.py
@@ -170,9 +170,9 @@
         return is_reported or self.load.states_slowdown
 
     def update_report(self, report: Report) -> None:
-        """Store the agent's report, and the load that it states."""
+        """Store the agent's report, and the load that it states of this start."""
         self.report = report
-        if self.is_superseded:
+        if not self._is_of_same_start(report):
             return
         self.update_load(report.active + report.queued, report.received_at)
 
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -34,8 +34,10 @@
     return known.get_by_id(server_id)
 
 
-def _report(known, clock, start_time_ms):
-    report = backends.Report(clock.now, 0, 0, {}, False, start_time_ms=start_time_ms)
+def _report(known, clock, start_time_ms, active=0):
+    report = backends.Report(
+        clock.now, active, 0, {}, False, start_time_ms=start_time_ms
+    )
     known.update_report(ADDRESS, report)
 
 
@@ -83,6 +85,18 @@
     _assert_equal((known.is_usable(server), known.describe_end(server)), (True, ''))
 
 
+@pytest.mark.parametrize(('first', 'second'), STARTS)
+def test_calls_of_the_start_before_do_not_count(known, clock, first, second):
+    """A late report of them made an empty server seem busy for a second."""
+    _publish(known, first)
+    clock.now += LONG_S
+    server = _publish(known, second)
+    _report(known, clock, first, active=4)
+    _assert_equal(server.count_calls(clock.now), 0)
+    _report(known, clock, second, active=3)
+    _assert_equal(server.count_calls(clock.now), 3)
+
+
 @pytest.mark.parametrize('start_time_ms', [0, 1000])
 def test_server_without_a_published_start_is_not_taken_for_restarted(
     known, clock, start_time_ms
