Tests: a server drained before an entry started, which saw no older record

The copy then has a record that this entry has never seen, so that it can't tell by that alone that it is older than the one it knows.

--- a/tests/test_store_drill.py
+++ b/tests/test_store_drill.py
@@ -239,6 +239,24 @@
     in_fleet(check)
 
 
+def test_server_that_drained_before_an_entry_started_gets_no_calls(in_fleet):
+    """That entry has never seen the record which the copy has."""
+
+    async def check(fleet):
+        def drain():
+            _publish(fleet, fleet.servers[0], state=DRAINING, born=BORN_MS)
+
+        copy = await _lose_seconds(fleet, drain, born=BORN_MS)
+        await fleet.join()
+        await fleet.until(lambda: _served(fleet) == [['i-b']] * 3)
+        await _restore(fleet, copy)
+        await _keep(lambda: _served(fleet), [['i-b']] * 3)
+        drain()
+        await _keep(lambda: _served(fleet), [['i-b']] * 3)
+
+    in_fleet(check)
+
+
 @pytest.mark.parametrize('born', [0, BORN_MS])
 def test_server_that_was_removed_before_the_loss_gets_no_calls(in_fleet, born):
     """It is present in the copy, until it is removed again."""
