View: a server that left is not taken back from a copy that was never seen

Calls reached a server that had said it was leaving, at an entry that had started after that, once the store was restored from a copy of before: the entry had not known the older record, so it took it for new. A record of the same start as one that is known to leave is now older than that, as a server leaves for the rest of its start.

Two cases of test_record_that_was_never_seen_of_a_server_ that_left guard the limits: another start, and a start that is not published.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -233,27 +233,20 @@
     def _begin_era(self, snapshot: Snapshot, source: str) -> None:
         """Order all known items anew, by the revisions of a restored store.
 
-        An item that was known before in the state that is listed now tells nothing new,
-        so the newest known state of its key takes its place. All others give way.
+        The newest known state of an item replaces an older one that is listed. All other
+        items give way to what is listed.
         """
         listed = {item.key: item for item in snapshot.items if item.body is not None}
-        for item in self._items.values():
-            self._history.record(item)
-        known_keys = self._history.find_known(listed.values())
+        outdated = self._find_outdated(listed)
 
         def renumber(known: Mapping[str, Item]) -> dict[str, Item]:
             return {
                 key: item._replace(
-                    revision=listed[key].revision if key in known_keys else 0
+                    revision=listed[key].revision if key in outdated else 0
                 )
                 for key, item in known.items()
             }
 
-        outdated = [
-            key
-            for key in known_keys
-            if key in self._removed or self._items[key].body != listed[key].body
-        ]
         if self.position != positions.START:
             journal.warning(
                 'store.era',
@@ -261,13 +254,48 @@
                 before=self.era,
                 revision=snapshot.revision,
                 known=self.revision,
-                outdated=outdated,
+                outdated=sorted(outdated),
                 source=source,
             )
         self._items = renumber(self._items)
         self._removed = renumber(self._removed)
         self.era, self.revision, self._history_from = snapshot.era, 0, 0
 
+    def _find_outdated(self, listed: Mapping[str, Item]) -> set[str]:
+        """Return the keys of listed items of which a newer state is known."""
+        for item in self._items.values():
+            self._history.record(item)
+        seen_before = self._history.find_known(listed.values())
+        return {
+            key
+            for key, item in listed.items()
+            if (key in seen_before or self._has_left_since(item))
+            and not self._is_known_body(item)
+        }
+
+    def _is_known_body(self, item: Item) -> bool:
+        known = self._items.get(item.key)
+        return known is not None and known.body == item.body
+
+    def _has_left_since(self, item: Item) -> bool:
+        """Tell whether a record is of a server that is known to leave since then.
+
+        This process may not have seen the record before. A server that leaves does so
+        for the rest of its start, which has to be known.
+        """
+        known = self.servers.get(self._server_ids_by_key.get(item.key, ''))
+        if known is None or not known.leaving or item.body is None:
+            return False
+        try:
+            record = self._decode(item.key, item.body)
+        except (msgspec.MsgspecError, ValueError):
+            return False
+        return (
+            known.start_time_ms > 0
+            and isinstance(record, servers.BackendServer)
+            and record.start_time_ms == known.start_time_ms
+        )
+
     def _restoration_grace_s(self, key: str) -> float:
         """Return for how long a record is kept that a restored store lacks."""
         return EVACUATION_GRACE_S if key in self.evacuations else EXPIRY_GRACE_S
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -27,7 +27,7 @@
     return _make_view(clock)
 
 
-def _server_item(name, revision, state='ready', sequence=1):
+def _server_item(name, revision, state='ready', sequence=1, born=0):
     body = {
         'service': 's',
         'address': '10.0.0.1:80',
@@ -37,6 +37,7 @@
         'state': state,
         'coldRemainingMs': 0,
         'sequence': sequence,
+        'born': born,
     }
     return fleetview.Item(f'servers/{name}', json.dumps(body).encode(), revision)
 
@@ -97,6 +98,19 @@
     _assert_equal([record.leaving for record in view.servers.values()], [True])
 
 
+@pytest.mark.parametrize(
+    ('born', 'is_leaving'), [(1000, True), (2000, False), (0, False)]
+)
+def test_record_that_was_never_seen_of_a_server_that_left(view, born, is_leaving):
+    """It is from before the draining, unless the server has started again since."""
+    draining = _server_item('a', 9, 'draining', born=1000 if born else 0)
+    _apply_snapshot(view, [draining], 9)
+    _apply_snapshot(view, [_server_item('a', 4, born=born)], 5, era=2)
+    _assert_equal(view.servers['a'].leaving, is_leaving)
+    _apply_changes(view, [_server_item('a', 6, born=born, sequence=2)], era=2)
+    _assert_equal(view.servers['a'].leaving, False)
+
+
 def test_peer_is_told_what_is_known_instead_of_the_older_state_of_a_copy(view, clock):
     """A peer that starts after a restoration knows nothing from before it."""
     ready = [_server_item('a', 4), _server_item('b', 5), _configuration_item(1, 3)]
