--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -233,8 +233,8 @@
     def _begin_era(self, snapshot: Snapshot, source: str) -> None:
         """Order all known items anew, by the revisions of a restored store.
 
-        The newest known state of an item replaces an older one that is listed. All other
-        items give way to what is listed.
+        The newest known state of an item replaces an older one that is listed. All
+        other items give way to what is listed.
         """
         listed = {item.key: item for item in snapshot.items if item.body is not None}
         outdated = self._find_outdated(listed)
