Fleet: others drop a server that leaves after one entry's own cut

Callers saw: requests reached a server 2.00 to 2.21 s after the ack of its removal (2.00 allowed), sent on by entries that were never cut off from the store.

Cause: an entry that regains the store after a cut of its own of less than about five seconds, in which nothing was changed, can't tell it from an outage of the store. It keeps servers that are removed within 0.3 s for 2.2 s and passes that time on with the removal, and the others kept them too, though the store had answered them all along.

Change: with the time to keep, an entry passes on the outage as it saw it: since when calls failed, and when the last one that failed was made. An entry that the store answered in between, with 0.5 s to spare at both ends, and that had no failure of its own since the outage began, drops the servers at once. Without such an answer, or if the sender names no outage, it keeps them as before. No outage is named with what a restored store lacks, or while records are kept for another reason. The entry that was cut off itself still keeps the servers.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from primrosesaddle.core import positions, rendezvous
-from primrosesaddle.fleet import fleetview
+from primrosesaddle.fleet import fleetview, outages
 from primrosesaddle.membership import dispatching, link, membertable, peers, wire
 from primrosesaddle.telemetry import journal
 
@@ -295,12 +295,20 @@
         self._view.version_ages.merge_peer_ages(body.version_ages_s)
         if body.is_snapshot:
             snapshot = fleetview.Snapshot(
-                items, body.revision, body.era, expiring_s=body.expiring_s
+                items,
+                body.revision,
+                body.era,
+                expiring_s=body.expiring_s,
+                outage=_outage(body),
             )
             self._view.apply_snapshot(snapshot, name)
         else:
             changes = fleetview.Changes(
-                items, body.revision, expiring_s=body.expiring_s, era=body.era
+                items,
+                body.revision,
+                expiring_s=body.expiring_s,
+                era=body.era,
+                outage=_outage(body),
             )
             self._view.apply_changes(changes, name)
 
@@ -328,9 +336,15 @@
             ages_s,
             dict(changes.expiring_s),
             changes.era,
+            changes.outage,
         )
 
 
+def _outage(body: wire.Items) -> outages.Outage | None:
+    """Return the outage because of which the sender keeps removed items."""
+    return outages.Outage(*body.outage_s) if body.outage_s else None
+
+
 def _exclude(leaders: Sequence[_Leader], tried: set[str]) -> list[_Leader]:
     return [leader for leader in leaders if leader.card.name not in tried]
 
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -9,7 +9,7 @@
 
 from primrosesaddle.calls import routes
 from primrosesaddle.core import positions
-from primrosesaddle.fleet import items, servers
+from primrosesaddle.fleet import items, outages, servers
 from primrosesaddle.staging import pieces, versionages
 from primrosesaddle.telemetry import journal
 
@@ -45,6 +45,7 @@
     era: int = 0
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
+    outage: outages.Outage | None = None
 
     @property
     def position(self) -> positions.Position:
@@ -57,7 +58,7 @@
 
     `unseen_s` is the time before this read in which the source was not read.
     `expiring_s` maps keys of removed items to the seconds for which they are still
-    kept, because they may be published again after an outage.
+    kept, because they may be published again after an outage. `outage` is that outage.
     """
 
     items: list[Item]
@@ -65,6 +66,7 @@
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
     era: int = 0
+    outage: outages.Outage | None = None
 
     @property
     def position(self) -> positions.Position:
@@ -92,8 +94,8 @@
     until it is published again, for a limited time if the store lacks it.
 
     `configuration`, `servers` (by server id) and `evacuations` (by key) are the decoded
-    records, `version_ages` the ages of announced versions. `listeners` are called after
-    a change.
+    records, `version_ages` the ages of announced versions, `store_answers` the times at
+    which the store answered this process. `listeners` are called after a change.
     """
 
     def __init__(
@@ -115,6 +117,8 @@
         self._history = items.ItemHistory()
         self._expiring_at: dict[str, float] = {}
         self._store_recovered_at = -EXPIRY_GRACE_S
+        self._outage: outages.Outage | None = None  # as of `_outage_known_at`
+        self._outage_known_at = 0.0
         self._server_ids_by_key: dict[str, str] = {}
         self._history_from = 0
         self._has_read_store = False
@@ -127,6 +131,7 @@
         self.servers: dict[str, servers.BackendServer] = {}
         self.evacuations: dict[str, servers.Evacuation] = {}
         self.version_ages = versionages.VersionAges(clock, assumed_age_s)
+        self.store_answers = outages.StoreAnswers(clock)
         self.era = 0
         self.revision = 0
         self.listeners: list[Listener] = []
@@ -163,6 +168,7 @@
             snapshot.unseen_s,
             expiring_s,
             snapshot.era,
+            None if is_restored else snapshot.outage,
         )
         self.apply_changes(changes, source)
 
@@ -177,7 +183,11 @@
             return
         if source != STORE and changes.revision < self.revision:
             return
-        origin = _Origin(source, self._unseen_s(source, changes), changes.expiring_s)
+        origin = _Origin(
+            source,
+            self._unseen_s(source, changes),
+            self._accept_expiring(changes),
+        )
         changed = False
         for item in changes.items:
             changed = self._apply_item(item, origin) or changed
@@ -186,9 +196,13 @@
         if changed:
             self._call_listeners()
 
-    def record_store_recovery(self) -> None:
-        """Record that the store answers again after an outage."""
+    def record_store_recovery(self, outage: outages.Outage | None = None) -> None:
+        """Record that the store answers again after an outage.
+
+        Peers that the store answered during the outage keep no servers because of it.
+        """
         self._store_recovered_at = self._clock()
+        self._record_outage(outage)
 
     @property
     def position(self) -> positions.Position:
@@ -212,7 +226,13 @@
         lapsing_s = {
             key: expires_at - now for key, expires_at in self._expiring_at.items()
         }
-        return Changes(newer, self.revision, expiring_s=lapsing_s, era=self.era)
+        outage = self._outage
+        if outage is not None:
+            since_s = now - self._outage_known_at
+            outage = outages.Outage(*(at_s + since_s for at_s in outage))
+        return Changes(
+            newer, self.revision, expiring_s=lapsing_s, era=self.era, outage=outage
+        )
 
     def drop_expired_servers(self) -> None:
         """Drop records that the store lost and that were not published again in time.
@@ -440,6 +460,26 @@
             return EXPIRY_GRACE_S - since_recovery_s
         return origin.expiring_s.get(key, 0.0)
 
+    def _accept_expiring(self, changes: Changes) -> Mapping[str, float]:
+        """Return which removed items are kept, and for how many seconds.
+
+        There are none if the peer alone was without the store: they have left.
+        """
+        if not changes.expiring_s:
+            return changes.expiring_s
+        if changes.outage and self.store_answers.disproves(changes.outage):
+            journal.info(
+                'outage.disproved', failing_s=round(changes.outage.failing_s, 2)
+            )
+            return {}
+        self._record_outage(changes.outage)
+        return changes.expiring_s
+
+    def _record_outage(self, outage: outages.Outage | None) -> None:
+        # Records that are kept for another reason may not have left.
+        self._outage = None if self._expiring_at else outage
+        self._outage_known_at = self._clock()
+
     def _drop_record(self, key: str, why: str) -> bool:
         """Remove the evacuation or server of a key; tell whether there was one."""
         if self.evacuations.pop(key, None) is not None:
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -441,3 +441,74 @@
         )
 
     reading(check)
+
+
+def _start_cut(stores):
+    for store in stores:
+        store.faults += [call.CallFailed('cut off') for _ in range(40)]
+
+
+@pytest.mark.parametrize(
+    ('cut_s', 'is_for_all', 'is_kept'),
+    [
+        pytest.param(3.5, False, False, id='own'),
+        pytest.param(3.5, True, True, id='for-all'),
+        pytest.param(0.7, False, True, id='short-and-unnoticed'),
+    ],
+)
+def test_others_keep_a_removed_server_only_if_the_store_was_away_for_all(
+    reading, cut_s, is_for_all, is_kept
+):
+    """The entry that was cut off cannot tell, and says that records have expired."""
+
+    async def check(fixture):
+        other = Fixture()
+        task = asyncio.create_task(other.reader.run())
+        both = (fixture, other)
+        for each in both:
+            each.store.items.append(_server_item('a', 6))
+            each.store.newest_revision = 6
+        await _until(lambda: all('a' in each.view.servers for each in both))
+        _start_cut([each.store for each in both if is_for_all or each is fixture])
+        await _until(lambda: len(fixture.store.faults) < 40)
+        await asyncio.sleep(cut_s)
+        fixture.store.items[:] = [fleetview.Item('servers/a', None, 7)]
+        fixture.store.newest_revision = 7
+        for each in both:
+            each.store.faults.clear()
+        await _until(lambda: fixture.view.revision == 7)
+        told = fixture.view.get_changes_since(6)
+        other.view.apply_changes(told, 'peer')
+        _assert_equal(
+            (list(told.expiring_s), 'a' in other.view.servers),
+            (['servers/a'], is_kept),
+        )
+        task.cancel()
+
+    reading(check)
+
+
+def test_others_keep_a_removed_server_if_their_calls_hung_in_the_outage(reading):
+    """They have not noticed it, as no call of theirs has failed yet."""
+
+    async def check(fixture):
+        other = Fixture()
+        task = asyncio.create_task(other.reader.run())
+        both = (fixture, other)
+        for each in both:
+            each.store.items.append(_server_item('a', 6))
+            each.store.newest_revision = 6
+        await _until(lambda: all('a' in each.view.servers for each in both))
+        other.store.delay_s = 3.0
+        await _until(lambda: other.store.requests[-1] == 'revision')
+        _start_cut([fixture.store])
+        await asyncio.sleep(3.5)
+        fixture.store.items[:] = [fleetview.Item('servers/a', None, 7)]
+        fixture.store.newest_revision = 7
+        fixture.store.faults.clear()
+        await _until(lambda: fixture.view.revision == 7)
+        other.view.apply_changes(fixture.view.get_changes_since(6), 'peer')
+        _assert_equal(list(other.view.servers), ['a'])
+        task.cancel()
+
+    reading(check)
