Outages: answers are timed by the view's clock alone

Entries on a machine that had slept never found that a peer alone had lost the store, and kept a server that had left: the reader's clock stands still during a sleep, the view's goes on, and the times of both were compared. An answer is now recorded by its age.

test_answers_disprove_an_outage_on_a_machine_that_has_slept failed before, and passes; tests/test_view.py and test_reader.py pass. No run on a machine that slept.

--- a/src/primrosesaddle/fleet/outages.py
+++ b/src/primrosesaddle/fleet/outages.py
@@ -35,11 +35,11 @@
         )
         self._failed_at: float | None = None
 
-    def record_answer(self, known_at: float) -> None:
-        """Record an answer of the store, whose content was current at `known_at`."""
+    def record_answer(self, age_s: float) -> None:
+        """Record an answer of the store, whose content was current `age_s` ago."""
         now = self._clock()
         if not self._answers or now - self._answers[-1][1] >= MIN_INTERVAL_S:
-            self._answers.append((known_at, now))
+            self._answers.append((now - age_s, now))
 
     def record_failure(self) -> None:
         """Record that a call to the store failed."""
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -271,7 +271,8 @@
             self._view.record_store_recovery(
                 outages.Outage(now - self._failing_since, now - self._last_failed_from)
             )
-        self._view.store_answers.record_answer(known_at)
+        # The view's clock may be ahead, by the time for which the machine slept.
+        self._view.store_answers.record_answer(self._clock() - known_at)
         if not self.is_store_reachable:
             self._regained_at = self._clock()
         self._last_read_at = known_at
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -8,7 +8,7 @@
 from testtools import assertions, matchers
 
 from primrosesaddle.core import positions
-from primrosesaddle.fleet import fleetview, reader
+from primrosesaddle.fleet import fleetview, outages, reader
 from primrosesaddle.net import call
 from primrosesaddle.platform import records
 from primrosesaddle.staging import pieces
@@ -78,11 +78,13 @@
 class Fixture:
     """A reader with its view, feed and scripted store."""
 
-    def __init__(self):
+    def __init__(self, slept_s=0.0):
         self.clock = asyncio.get_running_loop().time
         self.store = Store()
         self.feed = Feed()
-        self.view = fleetview.View(records.decode_record, self.clock, 5.0)
+        self.view = fleetview.View(
+            records.decode_record, lambda: self.clock() + slept_s, 5.0
+        )
         self.reader = reader.Reader(
             self.store, self.view, self.feed, BOUND_S, random.Random(1), self.clock
         )
@@ -97,9 +99,9 @@
 def reading():
     """Return a function that runs a check beside a reader."""
 
-    def run(check):
+    def run(check, **options):
         async def main():
-            fixture = Fixture()
+            fixture = Fixture(**options)
             task = asyncio.create_task(fixture.reader.run())
             try:
                 await check(fixture)
@@ -512,3 +514,13 @@
         task.cancel()
 
     reading(check)
+
+
+def test_answers_disprove_an_outage_on_a_machine_that_has_slept(reading):
+    """The clocks of reader and view are apart by the time of the sleep."""
+
+    async def check(fixture):
+        outage = outages.Outage(failing_s=2.0, asked_s=0.0)
+        await _until(lambda: fixture.view.store_answers.disproves(outage))
+
+    reading(check, slept_s=1000.0)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -102,7 +102,7 @@
     view.apply_changes(fleetview.Changes([_server_item('a', 5)], 5), 'store')
     for at in answered_at:
         clock.now = at
-        view.store_answers.record_answer(at)
+        view.store_answers.record_answer(0.0)
     clock.now = 14.2
     changes = fleetview.Changes(
         [fleetview.Item('servers/a', None, 6)],
@@ -132,7 +132,7 @@
 def test_slow_answer_does_not_disprove_an_outage(view, clock):
     """The call may have waited until the store was back."""
     clock.now = 13.9
-    view.store_answers.record_answer(12.0)
+    view.store_answers.record_answer(1.9)
     _remove_by_peer(view, clock, [])
     _assert_equal(sorted(view.servers), ['a'])
 
@@ -152,7 +152,7 @@
     """They are published again, unlike those that the same store lacks."""
     view.apply_changes(fleetview.Changes([_server_item('a', 5)], 5), 'store')
     clock.now = 11.5
-    view.store_answers.record_answer(11.5)
+    view.store_answers.record_answer(0.0)
     clock.now = 14.2
     snapshot = fleetview.Snapshot(
         [],
