Reader: a history that is gone again is not asked for at once

An entry could send some 900 requests a second to a store whose watches stated a later era than its lists of items: each told it to read the other. Once the same history is gone a second time, the read counts as failed, with the usual delays.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -192,8 +192,11 @@
         if changes is None or changes.era > known.era:
             # The end of an outage is recorded by the read of all items that follows.
             journal.info('store.history_gone', after=known.revision, era=known.era)
+            is_gone_again = self._has_read and self._history_gone_at == known
             self._has_read = False
             self._history_gone_at = known
+            if is_gone_again:
+                raise call.CallFailed(f'the changes after {known} are gone again')
             return
         _check_not_behind(changes.position, known)
         self._record_success(answered_at if is_watching else began_at)
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -24,6 +24,7 @@
         self.items = []
         self.newest_revision = 5
         self.era = 0
+        self.watched_era = 0  # if it is later than `era`
         self.requests = []
         self.faults = []
         self.delay_s = 0.0
@@ -43,7 +44,7 @@
         return fleetview.Changes(
             [item for item in self.items if item.revision > after],
             self.newest_revision,
-            era=self.era,
+            era=max(self.era, self.watched_era),
         )
 
     async def position(self):
@@ -524,3 +525,20 @@
         await _until(lambda: fixture.view.store_answers.disproves(outage))
 
     reading(check, slept_s=1000.0)
+
+
+def test_watch_in_a_later_era_than_all_items_is_not_repeated_at_once(reading):
+    """Guards against reads of all items one after the other, without a pause."""
+
+    async def check(fixture):
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.feed.is_selected = True
+        fixture.store.watched_era = 1
+        fixture.store.requests.clear()
+        await asyncio.sleep(1.0)
+        assertions.assert_that(
+            len(fixture.store.requests),
+            matchers.LessThan(2 * 1.0 / reader.RETRY_FIRST_S),
+        )
+
+    reading(check)
