View: what holds in place of a restored store's items is kept apart from them

After a restoration, as the review of the fix showed: - a server that had been removed for silence just before, and that the copy lists, got no calls for as long as it lived, as its heartbeats change nothing there; - an entry that started after a server left, and read the copy itself, sent calls to it until the server was written again, and no peer could tell it, as both were at the same position; - a peer that had lagged behind brought such a server back: it passed old states on under new revisions; - a second copy that listed again what the first lacked did not end the time for which that was kept, so servers and evacuations were dropped; - an entry that started after the restoration never adopted another configuration with the version in force, and passed on an older one than it acted on.

Cause: known states were put in place of the store's items, under their revisions. The items are now the store's alone. The records that hold instead of them are kept apart, until the item changes and for 10 s at most, and are passed on as such: with all items, and once to each entry of the same era. Another configuration with the version in force is adopted by the store's order.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -4,13 +4,14 @@
 import collections
 import random
 import typing
+import weakref
 import zlib
 from collections.abc import Callable, Sequence
 
 import msgspec
 
 from primrosesaddle.core import positions, rendezvous
-from primrosesaddle.fleet import fleetview, outages
+from primrosesaddle.fleet import fleetview, keptrecords, outages
 from primrosesaddle.membership import dispatching, link, membertable, peers, wire
 from primrosesaddle.telemetry import journal
 
@@ -36,10 +37,15 @@
 PULL_TIMEOUT_S = 1.0
 RETRY_S = 0.1  # when every peer with a higher revision has failed to answer
 PACK_LEVEL = 1  # lowest level; it suffices as names in a configuration repeat
+# A kept configuration may be large. Entries that lack it would pull it.
+MAX_TOLD_BYTES = 16 * 1024
 MAX_ITEMS_BYTES = 64 * 1024 * 1024  # limit of the uncompressed items in one message
 
-_Rows = tuple[tuple[str, bytes | None, int], ...]
-_ROWS = msgspec.msgpack.Decoder(_Rows)
+_ROWS = msgspec.msgpack.Decoder(list[fleetview.Item])
+_KEPT = msgspec.msgpack.Decoder(list[keptrecords.KeptRecord])
+
+
+_Row = typing.TypeVar('_Row')
 
 
 class _Leader(typing.NamedTuple):
@@ -77,12 +83,15 @@
         self._clock = asyncio.get_running_loop().time
         self._leaders: dict[str, _Leader] = {}
         self._has_leaders = asyncio.Event()
+        self._told_kept: weakref.WeakKeyDictionary[link.Channel, int] = (
+            weakref.WeakKeyDictionary()
+        )  # the era of the kept records that a peer was told of
         self._forwarded_at = positions.START  # latest position that another entry sent
         self.items_bytes = 0
         self.last_update_at = 0.0
         dispatcher.register(wire.PullItems, self._answer_pull)
         dispatcher.register(wire.Items, self._handle_items)
-        dispatcher.on_position = self._record_leader
+        dispatcher.on_position = self._handle_position
         dispatcher.get_position = lambda: view.position
 
     async def run(self) -> None:
@@ -210,6 +219,33 @@
             if channel.card.region != self._members.card.region:
                 self._send(self._same_region_entries(), body)
 
+    def _handle_position(
+        self, channel: link.Channel, position: positions.Position
+    ) -> None:
+        self._record_leader(channel, position)
+        if position.era == self._view.era:
+            self._tell_kept(channel)
+
+    def _tell_kept(self, channel: link.Channel) -> None:
+        """Tell an entry once in each era what holds in place of items.
+
+        An entry that has read the restored store itself pulls nothing.
+        """
+        era = self._view.era
+        if not self._view.kept_records or self._told_kept.get(channel) == era:
+            return
+        card = channel.card
+        if card is None or card.role != 'entry':
+            return
+        self._told_kept[channel] = era
+        if self.is_reader():
+            records = self._view.kept_records.list_remaining()
+            small = [
+                kept for kept in records if len(kept.body or b'') <= MAX_TOLD_BYTES
+            ]
+            items = self._make_items(self._view.revision, is_snapshot=False)
+            channel.send(msgspec.structs.replace(items, kept=pack_items(small)))
+
     def _record_leader(
         self, channel: link.Channel, position: positions.Position
     ) -> None:
@@ -287,7 +323,8 @@
     def _apply(self, body: wire.Items, name: str) -> None:
         """Apply packed items from the peer of a name; log items that are unreadable."""
         try:
-            items = _unpack(body.packed)
+            items = _unpack(body.packed, _ROWS)
+            kept = _unpack(body.kept, _KEPT) if body.kept else []
         except ValueError as exc:
             journal.warning('items.unreadable', peer=name, error=str(exc))
             return
@@ -300,6 +337,7 @@
                 body.era,
                 expiring_s=body.expiring_s,
                 outage=_outage(body),
+                kept=tuple(kept),
             )
             self._view.apply_snapshot(snapshot, name)
         else:
@@ -309,6 +347,7 @@
                 expiring_s=body.expiring_s,
                 era=body.era,
                 outage=_outage(body),
+                kept=tuple(kept),
             )
             self._view.apply_changes(changes, name)
 
@@ -337,6 +376,9 @@
             dict(changes.expiring_s),
             changes.era,
             changes.outage,
+            pack_items(self._view.kept_records.list_remaining())
+            if is_snapshot
+            else b'',
         )
 
 
@@ -349,21 +391,25 @@
     return [leader for leader in leaders if leader.card.name not in tried]
 
 
-def pack_items(items: Sequence[fleetview.Item]) -> bytes:
-    """Return items encoded as compressed MessagePack."""
+def pack_items(
+    items: Sequence[fleetview.Item] | Sequence[keptrecords.KeptRecord],
+) -> bytes:
+    """Return items or kept records encoded as compressed MessagePack."""
     return zlib.compress(msgspec.msgpack.encode(items), PACK_LEVEL)
 
 
-def _unpack(packed: bytes) -> list[fleetview.Item]:
-    """Return the items in bytes made by `pack_items`.
+def _unpack(
+    packed: bytes, decoder: 'msgspec.msgpack.Decoder[list[_Row]]'
+) -> list[_Row]:
+    """Return the rows in bytes made by `pack_items`.
 
     Raises `ValueError` if they are malformed or too large.
     """
     decompressor = zlib.decompressobj()
     try:
-        rows = _ROWS.decode(decompressor.decompress(packed, MAX_ITEMS_BYTES))
+        rows = decoder.decode(decompressor.decompress(packed, MAX_ITEMS_BYTES))
     except (zlib.error, msgspec.MsgspecError) as exc:
         raise ValueError(str(exc)) from None
     if not decompressor.eof:
         raise ValueError(f'items are truncated or larger than {MAX_ITEMS_BYTES} bytes')
-    return [fleetview.Item(*row) for row in rows]
+    return rows
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -9,7 +9,7 @@
 
 from primrosesaddle.calls import routes
 from primrosesaddle.core import positions
-from primrosesaddle.fleet import items, outages, servers
+from primrosesaddle.fleet import items, keptrecords, outages, servers, unseentime
 from primrosesaddle.staging import pieces, versionages
 from primrosesaddle.telemetry import journal
 
@@ -21,14 +21,10 @@
 # Records that expired during an outage are missing from the first read after it. A
 # server removed later than this after the outage has left by itself.
 OUTAGE_REMOVAL_WINDOW_S = 0.3
-# If `drop_expired_servers` was not called for this long, the process was paused.
-# Records read within the same time after the pause may have been published during it.
-PAUSE_THRESHOLD_S = 0.8
-# After a shorter time without a read, changes count as just published.
-UNSEEN_THRESHOLD_S = 0.2
-# The operator publishes evacuations again that a restored store lacks within this time.
-# One that was ended there leaves no trace, so it must not be kept for good.
-EVACUATION_GRACE_S = 10.0
+# What a restored store has lost is published again within this time. After it the store
+# holds: a server that it lists has not fallen silent, and an evacuation that it lacks
+# may have been ended.
+RESTORATION_S = 10.0
 STORE = 'store'  # source name of records read from the store itself
 # Number of removals kept for peers that request the changes after a revision.
 MAX_REMOVALS = 512
@@ -46,6 +42,7 @@
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
     outage: outages.Outage | None = None
+    kept: tuple[keptrecords.KeptRecord, ...] = ()
 
     @property
     def position(self) -> positions.Position:
@@ -59,6 +56,7 @@
     `unseen_s` is the time before this read in which the source was not read.
     `expiring_s` maps keys of removed items to the seconds for which they are still
     kept, because they may be published again after an outage. `outage` is that outage.
+    `kept` are records that hold in place of items.
     """
 
     items: list[Item]
@@ -67,6 +65,7 @@
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
     era: int = 0
     outage: outages.Outage | None = None
+    kept: tuple[keptrecords.KeptRecord, ...] = ()
 
     @property
     def position(self) -> positions.Position:
@@ -95,7 +94,9 @@
 
     `configuration`, `servers` (by server id) and `evacuations` (by key) are the decoded
     records, `version_ages` the ages of announced versions, `store_answers` the times at
-    which the store answered this process. `listeners` are called after a change.
+    which the store answered this process, `kept_records` the records that hold in place
+    of items. After the revision `history_from` of this era all removals are known.
+    `listeners` are called after a change.
     """
 
     def __init__(
@@ -115,17 +116,15 @@
         self._items: dict[str, Item] = {}
         self._removed: dict[str, Item] = {}
         self._history = items.ItemHistory()
+        self.kept_records = keptrecords.KeptRecords(clock)
         self._expiring_at: dict[str, float] = {}
         self._store_recovered_at = -EXPIRY_GRACE_S
         self._outage: outages.Outage | None = None  # as of `_outage_known_at`
         self._outage_known_at = 0.0
         self._server_ids_by_key: dict[str, str] = {}
-        self._history_from = 0
+        self.history_from = 0
         self._has_read_store = False
-        self._last_expiry_check_at: float | None = None
-        self._pause_s = 0.0
-        self._pause_relevant_until = 0.0
-        self._configuration_era = 0
+        self._unseen = unseentime.UnseenTime(clock)
         self._configuration_body: bytes | None = None
         self.configuration: routes.Configuration | None = None
         self.servers: dict[str, servers.BackendServer] = {}
@@ -155,12 +154,10 @@
         ]
         if snapshot.revision > self.revision:
             # Items added and removed in between are not among the known removals.
-            self._history_from = snapshot.revision
+            self.history_from = snapshot.revision
         expiring_s = snapshot.expiring_s
         if is_restored:
-            graces_s = {
-                item.key: self._restoration_grace_s(item.key) for item in absent
-            }
+            graces_s = {item.key: EXPIRY_GRACE_S for item in absent}
             expiring_s = {**graces_s, **expiring_s}
         changes = Changes(
             [*snapshot.items, *absent],
@@ -169,6 +166,7 @@
             expiring_s,
             snapshot.era,
             None if is_restored else snapshot.outage,
+            snapshot.kept,
         )
         self.apply_changes(changes, source)
 
@@ -183,14 +181,17 @@
             return
         if source != STORE and changes.revision < self.revision:
             return
+        is_watched = source == STORE and self._has_read_store
         origin = _Origin(
             source,
-            self._unseen_s(source, changes),
+            self._unseen.estimate_s(changes.unseen_s) if is_watched else math.inf,
             self._accept_expiring(changes),
         )
         changed = False
         for item in changes.items:
             changed = self._apply_item(item, origin) or changed
+        for kept in changes.kept:
+            changed = self._adopt_kept(kept, origin) or changed
         self.revision = max(self.revision, changes.revision)
         self._has_read_store = self._has_read_store or source == STORE
         if changed:
@@ -209,11 +210,6 @@
         """Return the position up to which all changes are known."""
         return positions.Position(self.era, self.revision)
 
-    @property
-    def history_from(self) -> int:
-        """Return the revision of this era after which all removals are known."""
-        return self._history_from
-
     def get_changes_since(self, revision: int) -> Changes:
         """Return the items and removals after a revision, for a peer."""
         newer = [
@@ -231,7 +227,11 @@
             since_s = now - self._outage_known_at
             outage = outages.Outage(*(at_s + since_s for at_s in outage))
         return Changes(
-            newer, self.revision, expiring_s=lapsing_s, era=self.era, outage=outage
+            newer,
+            self.revision,
+            expiring_s=lapsing_s,
+            era=self.era,
+            outage=outage,
         )
 
     def drop_expired_servers(self) -> None:
@@ -240,33 +240,37 @@
         Call it regularly: a gap between calls is taken for a pause of the process.
         """
         now = self._clock()
-        self._detect_pause(now)
+        self._unseen.observe()
         expired = [
             key for key, expires_at in self._expiring_at.items() if now >= expires_at
         ]
         for key in expired:
             self._expiring_at.pop(key)
-            self._drop_record(key, 'not published again after the outage')
-        if expired:
+            self._drop_server(key, 'not published again after the outage')
+        no_longer_kept = self.kept_records.pop_expired()
+        for key in no_longer_kept:
+            self._adopt_listed(key)
+        if expired or no_longer_kept:
             self._call_listeners()
 
     def _begin_era(self, snapshot: Snapshot, source: str) -> None:
         """Order all known items anew, by the revisions of a restored store.
 
-        The newest known state of an item replaces an older one that is listed. All
-        other items give way to what is listed.
+        The newest known state of a record holds in place of an older one that is
+        listed, and an evacuation in place of none.
         """
         listed = {item.key: item for item in snapshot.items if item.body is not None}
         outdated = self._find_outdated(listed)
-
-        def renumber(known: Mapping[str, Item]) -> dict[str, Item]:
-            return {
-                key: item._replace(
-                    revision=listed[key].revision if key in outdated else 0
-                )
-                for key, item in known.items()
-            }
-
+        kept = [
+            keptrecords.KeptRecord(
+                key, self._held_body(key), listed[key].revision, RESTORATION_S
+            )
+            for key in outdated
+        ]
+        kept += [
+            keptrecords.KeptRecord(key, self._held_body(key), 0, RESTORATION_S)
+            for key in self.evacuations.keys() - listed.keys()
+        ]
         if self.position != positions.START:
             journal.warning(
                 'store.era',
@@ -277,12 +281,19 @@
                 outdated=sorted(outdated),
                 source=source,
             )
-        self._items = renumber(self._items)
-        self._removed = renumber(self._removed)
-        self.era, self.revision, self._history_from = snapshot.era, 0, 0
+        self.kept_records.clear()
+        for record in kept:
+            self.kept_records.add(record)
+        for known in (self._items, self._removed):
+            for key, item in known.items():
+                known[key] = item._replace(revision=0)
+        self.era, self.revision, self.history_from = snapshot.era, 0, 0
 
     def _find_outdated(self, listed: Mapping[str, Item]) -> set[str]:
-        """Return the keys of listed items of which a newer state is known."""
+        """Return the keys of listed items of which a newer state is known.
+
+        Records that the store lacked before are none: they hold only until then.
+        """
         for item in self._items.values():
             self._history.record(item)
         seen_before = self._history.find_known(listed.values())
@@ -290,50 +301,69 @@
             key
             for key, item in listed.items()
             if (key in seen_before or self._has_left_since(item))
-            and not self._is_known_body(item)
+            and key not in self._expiring_at
+            and self._held_body(key) != item.body
         }
 
-    def _is_known_body(self, item: Item) -> bool:
-        known = self._items.get(item.key)
-        return known is not None and known.body == item.body
-
     def _has_left_since(self, item: Item) -> bool:
-        """Tell whether a record is of a server that is known to leave since then.
-
-        This process may not have seen the record before. A server that leaves does so
-        for the rest of its start, which has to be known.
-        """
+        """Tell whether an item that may not have been seen is of a server that left."""
         known = self.servers.get(self._server_ids_by_key.get(item.key, ''))
-        if known is None or not known.leaving or item.body is None:
-            return False
         try:
-            record = self._decode(item.key, item.body)
+            listed = self._decode(item.key, item.body or b'')
         except (msgspec.MsgspecError, ValueError):
             return False
-        return (
-            known.start_time_ms > 0
-            and isinstance(record, servers.BackendServer)
-            and record.start_time_ms == known.start_time_ms
-        )
+        return keptrecords.has_left_since(known, listed)
 
-    def _restoration_grace_s(self, key: str) -> float:
-        """Return for how long a record is kept that a restored store lacks."""
-        return EVACUATION_GRACE_S if key in self.evacuations else EXPIRY_GRACE_S
+    def _held_body(self, key: str) -> bytes | None:
+        """Return the body of the state in which a record holds, None if removed."""
+        kept = self.kept_records.get(key)
+        if kept is not None:
+            return kept.body
+        item = self._items.get(key)
+        return None if item is None else item.body
 
     def _apply_item(self, item: Item, origin: _Origin) -> bool:
         """Apply an item, and tell whether a decoded record changed."""
         known = self._items.get(item.key) or self._removed.get(item.key)
         if known is not None and known.revision >= item.revision:
+            self._history.record(item)
             return False
-        if item.body is None:
-            return self._remove(item, origin)
-        if known is not None and known.body is not None:
+        if known is not None:
             self._history.record(known)
+        is_replaced = self.kept_records.replaces(item)
+        if not is_replaced:
+            self.kept_records.discard(item.key)
+        if item.body is None:
+            self._store_removal(item)
+            return not is_replaced and self._remove(item, origin)
         self._removed.pop(item.key, None)
         self._expiring_at.pop(item.key, None)
         self._items[item.key] = item
+        return not is_replaced and self._decode_and_adopt(item, origin)
+
+    def _adopt_kept(self, told: keptrecords.KeptRecord, origin: _Origin) -> bool:
+        """Adopt a record that a peer holds in place of an item known here."""
+        item = self._items.get(told.key)
+        revision = 0 if item is None else item.revision
+        if told.key in self.kept_records or revision != told.revision:
+            return False
+        self.kept_records.add(told)
+        if told.body is None:
+            return self._drop_record(told.key, f'left, reported by {origin.source}')
+        return self._decode_and_adopt(Item(told.key, told.body, revision), origin)
+
+    def _adopt_listed(self, key: str) -> None:
+        """Adopt the state of an item that the store lists, or lacks."""
+        item = self._items.get(key)
+        if item is None:
+            self._drop_record(key, 'not published again after the restoration')
+        else:
+            origin = _Origin(STORE, math.inf, types.MappingProxyType({}))
+            self._decode_and_adopt(item, origin)
+
+    def _decode_and_adopt(self, item: Item, origin: _Origin) -> bool:
         try:
-            record = self._decode(item.key, item.body)
+            record = self._decode(item.key, item.body or b'')
         except (msgspec.MsgspecError, ValueError) as exc:
             journal.warning('item.unreadable', key=item.key, error=str(exc))
             return self._drop_server(item.key, 'unreadable record')
@@ -362,6 +392,12 @@
     ) -> bool:
         known = self.configuration
         if known is not None and not self._is_newer_configuration(record, item):
+            # Peers are told of the configuration in force, not of this one.
+            self.kept_records.add(
+                keptrecords.KeptRecord(
+                    item.key, self._configuration_body, item.revision, math.inf
+                )
+            )
             journal.warning(
                 'configuration.older',
                 version=record.version,
@@ -370,7 +406,6 @@
             )
             return False
         self.configuration = record
-        self._configuration_era = self.era
         self._configuration_body = item.body
         journal.info(
             'configuration.adopted',
@@ -385,14 +420,12 @@
     def _is_newer_configuration(self, record: routes.Configuration, item: Item) -> bool:
         """Tell whether a configuration replaces the one in force.
 
-        After a restoration another one may be published with the version in force.
+        An operator who has lost a configuration may give its version to another one.
         """
         known_version = 0 if self.configuration is None else self.configuration.version
         if record.version != known_version:
             return record.version > known_version
-        return (
-            self.era > self._configuration_era and item.body != self._configuration_body
-        )
+        return item.body != self._configuration_body
 
     def _adopt_server(
         self, record: servers.BackendServer, item: Item, source: str
@@ -431,56 +464,24 @@
         )
         return True
 
-    def _unseen_s(self, source: str, changes: Changes) -> float:
-        """Return for how many seconds changes may have been published unnoticed."""
-        if source != STORE or not self._has_read_store:
-            return math.inf
-        pause_s = (
-            0.0
-            if self._last_expiry_check_at is None
-            else self._clock() - self._last_expiry_check_at
-        )
-        if self._pause_s:
-            pause_s += self._pause_s
-        elif pause_s <= PAUSE_THRESHOLD_S:
-            pause_s = 0.0
-        return max(
-            pause_s, changes.unseen_s if changes.unseen_s > UNSEEN_THRESHOLD_S else 0.0
-        )
-
-    def _detect_pause(self, now: float) -> None:
-        """Detect a pause of the process from the time since the last call."""
-        if (
-            self._last_expiry_check_at is not None
-            and now - self._last_expiry_check_at > PAUSE_THRESHOLD_S
-        ):
-            self._pause_s = now - self._last_expiry_check_at
-            self._pause_relevant_until = now + PAUSE_THRESHOLD_S
-        elif now >= self._pause_relevant_until:
-            self._pause_s = 0.0
-        self._last_expiry_check_at = now
-
-    def _remove(self, item: Item, origin: _Origin) -> bool:
-        removed = self._items.pop(item.key, None)
-        if removed is not None:
-            self._history.record(removed)
+    def _store_removal(self, item: Item) -> None:
+        self._items.pop(item.key, None)
         self._removed[item.key] = item
         while len(self._removed) > MAX_REMOVALS:
             oldest = self._removed.pop(next(iter(self._removed)))
             self._history.forget(oldest.key)
-            self._history_from = max(self._history_from, oldest.revision)
+            self.history_from = max(self.history_from, oldest.revision)
+
+    def _remove(self, item: Item, origin: _Origin) -> bool:
         grace_s = self._remaining_grace_s(item.key, origin)
         if grace_s > 0:
             self._expiring_at[item.key] = self._clock() + grace_s
-            kind = 'server' if item.key in self._server_ids_by_key else 'evacuation'
-            journal.info(f'{kind}.lapsed', key=item.key, kept_s=round(grace_s, 2))
+            journal.info('server.lapsed', key=item.key, kept_s=round(grace_s, 2))
             return False
         return self._drop_record(item.key, f'removed, reported by {origin.source}')
 
     def _remaining_grace_s(self, key: str, origin: _Origin) -> float:
-        """Return for how many seconds a removed record is kept, as it may come back."""
-        if key in self.evacuations:
-            return origin.expiring_s.get(key, 0.0)
+        """Return for how many seconds a removed server is kept, as it may come back."""
         if key not in self._server_ids_by_key:
             return 0.0
         since_recovery_s = self._clock() - self._store_recovered_at
--- a/src/primrosesaddle/fleet/items.py
+++ b/src/primrosesaddle/fleet/items.py
@@ -30,7 +30,9 @@
         self._states: dict[str, collections.deque[int]] = {}
 
     def record(self, item: Item) -> None:
-        """Record the state of an item that was published."""
+        """Record the state of an item that was published; removals are none."""
+        if item.body is None:
+            return
         states = self._states.get(item.key)
         if states is None:
             states = collections.deque(maxlen=MAX_STATES)
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -249,6 +249,7 @@
     removed items to the seconds for which they are still kept, because they may be
     published again after an outage of the store. `outage_s` is that outage: the seconds
     since the first call to the store failed, and since the last one that failed began.
+    `kept` are records that hold in place of items, packed by the feed.
     """
 
     packed: bytes
@@ -259,6 +260,7 @@
     expiring_s: dict[str, float] = {}
     era: int = 0
     outage_s: tuple[float, float] | None = None
+    kept: bytes = b''
 
     @property
     def position(self) -> positions.Position:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -12,7 +12,7 @@
 from testtools import assertions, matchers
 
 import platformstand as stand
-from primrosesaddle.core import rendezvous
+from primrosesaddle.core import positions, rendezvous
 from primrosesaddle.fleet import feed, fleetview
 from primrosesaddle.membership import dispatching, membertable, peers, wire
 from primrosesaddle.platform import records
@@ -173,6 +173,9 @@
         )
         self._dispatcher.dispatch(self, 0, body)
 
+    def state_position(self, position):
+        self._dispatcher.on_position(self, positions.Position(*position))
+
     def receive_pull(self, after, era):
         self._dispatcher.dispatch(self, 1, wire.PullItems(after, era))
 
@@ -231,6 +234,34 @@
     fed(check)
 
 
+def _configure(view, version, revision, era=2):
+    body = json.dumps(stand.configuration(version)).encode()
+    item = fleetview.Item('op/config', body, revision)
+    view.apply_snapshot(fleetview.Snapshot([item], revision, era), 'store')
+
+
+def test_peer_in_the_same_era_is_told_once_what_holds_in_place_of_items(fed):
+    """It read the restored store itself, so it pulls nothing."""
+
+    def check(view, peer):
+        _configure(view, 2, 8, era=1)
+        _configure(view, 1, 3)
+        for _ in range(2):
+            peer.state_position((2, 3))
+        _assert_equal([(body.after, body.revision) for body in peer.sent], [(3, 3)])
+        other = fleetview.View(records.decode_record, lambda: 100.0, 5.0)
+        _configure(other, 1, 3)
+        receiver = dispatching.MessageDispatcher()
+        members = membertable.MemberTable(
+            _card('e3'), receiver.make_hooks(), None, random.Random(1)
+        )
+        feed.Feed(other, members, receiver, str, random.Random(1))
+        receiver.dispatch(Peer(receiver, 'e1'), 0, peer.sent[0])
+        _assert_equal(other.configuration.version, 2)
+
+    fed(check)
+
+
 @pytest.mark.parametrize(('after', 'era'), [(9, 1), (2, 2)])
 def test_peer_that_may_lack_removals_is_sent_all_items(fed, after, era):
     """A peer in an earlier era may be at a higher revision."""
--- a/tests/test_store_drill.py
+++ b/tests/test_store_drill.py
@@ -257,6 +257,27 @@
     in_fleet(check)
 
 
+@pytest.mark.parametrize('state', [DRAINING, None])
+def test_entry_that_never_saw_a_server_that_left_is_told_in_time(in_fleet, state):
+    """It started in the seconds that were lost, and reads the copy itself."""
+
+    async def check(fleet):
+        def leave():
+            if state is None:
+                _unpublish(fleet, fleet.servers[0])
+            else:
+                _publish(fleet, fleet.servers[0], state=state)
+
+        copy = await _lose_seconds(fleet, leave)
+        await fleet.join()
+        await fleet.until(lambda: _served(fleet) == [['i-b']] * 3)
+        await _restore(fleet, copy)
+        await asyncio.sleep(fleet.cfg.bounds.drain_s)
+        await _keep(lambda: _served(fleet), [['i-b']] * 3)
+
+    in_fleet(check)
+
+
 @pytest.mark.parametrize('born', [0, BORN_MS])
 def test_server_that_was_removed_before_the_loss_gets_no_calls(in_fleet, born):
     """It is present in the copy, until it is removed again."""
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -122,9 +122,8 @@
     ]
     _apply_changes(view, newer)
     _apply_snapshot(view, ready, 5, era=2)
-    told = view.get_changes_since(0)
     peer = _make_view(clock)
-    _apply_snapshot(peer, told.items, told.revision, era=told.era, source='peer')
+    _pull(peer, view)
     _assert_equal(
         (list(peer.servers), peer.servers['a'].leaving, peer.configuration.version),
         (['a'], True, 2),
@@ -154,7 +153,7 @@
     item = fleetview.Item(EVACUATION_KEY, b'{}', 4)
     _apply_snapshot(view, [item], 5)
     _apply_snapshot(view, [], 3, era=2)
-    clock.now += fleetview.EVACUATION_GRACE_S - 0.1
+    clock.now += fleetview.RESTORATION_S - 0.1
     view.drop_expired_servers()
     _assert_equal(list(view.evacuations), [EVACUATION_KEY])
     clock.now += 0.2
@@ -167,7 +166,7 @@
     _apply_snapshot(view, [fleetview.Item(EVACUATION_KEY, b'{}', 4)], 5)
     _apply_snapshot(view, [], 3, era=2)
     _apply_changes(view, [fleetview.Item(EVACUATION_KEY, b'{}', 4)], era=2)
-    clock.now += 2 * fleetview.EVACUATION_GRACE_S
+    clock.now += 2 * fleetview.RESTORATION_S
     view.drop_expired_servers()
     _assert_equal(list(view.evacuations), [EVACUATION_KEY])
 
@@ -182,14 +181,88 @@
     _assert_equal(view.configuration.version, 2)
 
 
-@pytest.mark.parametrize(('era', 'is_adopted'), [(1, False), (2, True)])
-def test_other_configuration_with_the_version_in_force(view, era, is_adopted):
-    """After a restoration, the operator may have used the version for another one."""
+@pytest.mark.parametrize('era', [1, 2])
+def test_other_configuration_with_the_version_in_force_is_adopted(view, era):
+    """The operator has lost that version, and has given its number to another one."""
     _apply_snapshot(view, [_configuration_item(2, 4)], 5)
-    before = view.configuration
     other = _configuration_item(2, 6, limits={'idleTimeoutMs': 1234})
     _apply_snapshot(view, [other], 6, era=era)
-    _assert_equal(view.configuration is not before, is_adopted)
+    _assert_equal(view.configuration.limits.idle_timeout_s, 1.234)
+
+
+def test_entry_that_starts_after_a_restoration_adopts_that_other_one_too(view, clock):
+    """It has the lost configuration from a peer alone."""
+    _apply_snapshot(view, [_configuration_item(3, 4)], 4)
+    _apply_changes(view, [_configuration_item(4, 6)])
+    _apply_snapshot(view, [_configuration_item(3, 4)], 4, era=2)
+    started = _make_view(clock)
+    _pull(started, view)
+    _assert_equal(started.configuration.version, 4)
+    other = _configuration_item(4, 5, limits={'idleTimeoutMs': 1234})
+    _apply_changes(started, [other], era=2)
+    _assert_equal(started.configuration.limits.idle_timeout_s, 1.234)
+
+
+def test_peer_is_told_the_configuration_in_force(view, clock):
+    """The copy has an older one that this process never saw."""
+    _apply_snapshot(view, [_configuration_item(4, 10)], 10)
+    _apply_snapshot(view, [_configuration_item(3, 4)], 5, era=2)
+    peer = _make_view(clock)
+    _pull(peer, view)
+    _assert_equal(peer.configuration.version, 4)
+
+
+def test_peer_at_the_same_position_is_told_what_holds_in_place_of_items(view, clock):
+    """It started after a server had left, and read the copy itself."""
+    ready = [_server_item('a', 4), _server_item('b', 5)]
+    _apply_snapshot(view, ready, 5)
+    _apply_changes(view, [_server_item('a', 6, 'draining'), _removal('b', 7)])
+    peer = _make_view(clock)
+    for each in (view, peer):
+        _apply_snapshot(each, ready, 5, era=2)
+    _pull(peer, view)
+    _assert_equal([record.leaving for record in peer.servers.values()], [True])
+    _apply_changes(peer, [_server_item('a', 6)], era=2)
+    _assert_equal([record.leaving for record in peer.servers.values()], [False])
+
+
+def test_server_that_the_store_goes_on_to_list_is_used_at_last(view, clock):
+    """It was removed for silence, and its heartbeats change nothing in the store."""
+    _apply_snapshot(view, [_server_item('a', 4)], 4)
+    _apply_changes(view, [_removal('a', 6)])
+    _apply_snapshot(view, [_server_item('a', 4)], 4, era=2)
+    clock.now += fleetview.RESTORATION_S
+    view.drop_expired_servers()
+    _assert_equal(list(view.servers), ['a'])
+
+
+def test_record_that_a_second_copy_lists_again_is_not_dropped(view, clock):
+    """The first copy lacked it, so it was kept for a limited time."""
+    lost = [_server_item('a', 4), fleetview.Item(EVACUATION_KEY, b'{}', 5)]
+    _apply_snapshot(view, [], 3)
+    _apply_changes(view, lost)
+    _apply_snapshot(view, [], 3, era=2)
+    _apply_snapshot(view, lost, 5, era=3)
+    clock.now += 2 * fleetview.RESTORATION_S
+    view.drop_expired_servers()
+    _assert_equal(
+        (list(view.servers), list(view.evacuations)), (['a'], [EVACUATION_KEY])
+    )
+
+
+@pytest.mark.parametrize('has_left', ['draining', 'removed'])
+def test_peer_that_lagged_behind_does_not_bring_a_server_back(view, clock, has_left):
+    """It was cut off just before the loss, and reads the restored store first."""
+    lagging = _make_view(clock)
+    for each in (view, lagging):
+        _apply_snapshot(each, [_server_item('a', 4)], 4)
+        _apply_changes(each, [_server_item('a', 6, sequence=2)])
+    last = _server_item('a', 8, 'draining') if has_left == 'draining' else None
+    _apply_changes(view, [last or _removal('a', 8)])
+    _apply_snapshot(lagging, [_server_item('a', 4)], 5, era=2)
+    _pull(view, lagging)
+    in_use = [name for name, record in view.servers.items() if not record.leaving]
+    _assert_equal(in_use, [])
 
 
 def test_items_of_an_earlier_era_change_nothing(view):
@@ -292,17 +365,22 @@
 
 
 def _pull(view, peer):
-    """Pull from a peer as entries do."""
-    if peer.position <= view.position:
+    """Pull from a peer as entries do, or be told at the same position."""
+    if peer.position < view.position:
         return
     is_snapshot = view.position < (peer.era, peer.history_from)
     told = peer.get_changes_since(0 if is_snapshot else view.revision)
     if is_snapshot:
         snapshot = fleetview.Snapshot(
-            told.items, told.revision, told.era, expiring_s=told.expiring_s
+            told.items,
+            told.revision,
+            told.era,
+            expiring_s=told.expiring_s,
+            kept=peer.kept_records.list_remaining(),
         )
         view.apply_snapshot(snapshot, 'peer')
     else:
+        told = told._replace(kept=peer.kept_records.list_remaining())
         view.apply_changes(told, 'peer')
 
 
@@ -341,7 +419,7 @@
     store.publish_again([*keys, EVACUATION_KEY, 'op/config'])
     for view in views:
         _read_store(view, store)
-    clock.now += fleetview.EVACUATION_GRACE_S
+    clock.now += fleetview.RESTORATION_S
     for view in views:
         view.drop_expired_servers()
     wanted = {
