View: a configuration that is published again unchanged is no older one

After a restoration each entry warned of an older configuration when the one in force was published again, and kept it in place of itself. It also decoded all items a second time when it entered an era, its first one included; only records of servers that are known to leave need that.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -308,6 +308,8 @@
     def _has_left_since(self, item: Item) -> bool:
         """Tell whether an item that may not have been seen is of a server that left."""
         known = self.servers.get(self._server_ids_by_key.get(item.key, ''))
+        if known is None or not known.leaving:
+            return False
         try:
             listed = self._decode(item.key, item.body or b'')
         except (msgspec.MsgspecError, ValueError):
@@ -391,7 +393,7 @@
         self, record: routes.Configuration, item: Item, source: str
     ) -> bool:
         known = self.configuration
-        if known is not None and not self._is_newer_configuration(record, item):
+        if known is not None and record.version < known.version:
             # Peers are told of the configuration in force, not of this one.
             self.kept_records.add(
                 keptrecords.KeptRecord(
@@ -405,6 +407,9 @@
                 revision=item.revision,
             )
             return False
+        # An operator who has lost a configuration may give its version to another one.
+        if item.body == self._configuration_body:
+            return False
         self.configuration = record
         self._configuration_body = item.body
         journal.info(
@@ -417,16 +422,6 @@
         )
         return True
 
-    def _is_newer_configuration(self, record: routes.Configuration, item: Item) -> bool:
-        """Tell whether a configuration replaces the one in force.
-
-        An operator who has lost a configuration may give its version to another one.
-        """
-        known_version = 0 if self.configuration is None else self.configuration.version
-        if record.version != known_version:
-            return record.version > known_version
-        return item.body != self._configuration_body
-
     def _adopt_server(
         self, record: servers.BackendServer, item: Item, source: str
     ) -> bool:
--- a/src/primrosesaddle/fleet/keptrecords.py
+++ b/src/primrosesaddle/fleet/keptrecords.py
@@ -80,14 +80,13 @@
         )
 
 
-def has_left_since(known: servers.BackendServer | None, listed: object) -> bool:
+def has_left_since(known: servers.BackendServer, listed: object) -> bool:
     """Tell whether a listed record is of a server that is known to leave since then.
 
     A server that leaves does so for the rest of its start, which has to be known.
     """
     return (
-        known is not None
-        and known.leaving
+        known.leaving
         and known.start_time_ms > 0
         and isinstance(listed, servers.BackendServer)
         and listed.start_time_ms == known.start_time_ms
