--- a/tests/platformstand.py
+++ b/tests/platformstand.py
@@ -41,6 +41,7 @@
     items: dict[str, dict[str, typing.Any]]
     events: list[dict[str, typing.Any]]
     revision: int
+    compacted: int
 
 
 class Store:
@@ -54,6 +55,7 @@
         self.items: dict[str, dict[str, typing.Any]] = {}
         self.events: list[dict[str, typing.Any]] = []
         self.revision = 1
+        self.compacted = 0  # revision up to which the history is gone
         self.down = False
         self.mute = False
         self.is_away = False
@@ -103,9 +105,14 @@
     def after(self, revision: int) -> list[dict[str, typing.Any]]:
         return [event for event in self.events if event['revision'] > revision]
 
+    def compact(self, kept: int = 0) -> None:
+        """Drop the history up to some newest revisions that are kept."""
+        self.compacted = max(self.compacted, self.revision - kept)
+        self.events = self.after(self.compacted)
+
     def take_copy(self) -> Copy:
         """Return a copy of what the store holds."""
-        return Copy(dict(self.items), list(self.events), self.revision)
+        return Copy(dict(self.items), list(self.events), self.revision, self.compacted)
 
     def go_away(self) -> None:
         """Close every connection without an answer from now on, waiting watches too."""
@@ -117,6 +124,7 @@
         self.items = dict(copy.items)
         self.events = list(copy.events)
         self.revision = copy.revision
+        self.compacted = copy.compacted
         if self.era is not None:
             self.era += 1
         self.is_away = False
@@ -177,7 +185,7 @@
     async def get(self) -> None:
         after = int(self.get_query_argument('after'))
         wait_s = int(self.get_query_argument('waitMs')) / 1000
-        if after > self.store.revision:
+        if not self.store.compacted <= after <= self.store.revision:
             self.send_error(410)
             return
         era = self.store.era
@@ -189,6 +197,9 @@
         if self.store.down:
             self.send_error(503)
             return
+        if after < self.store.compacted:
+            self.send_error(410)
+            return
         events = self.store.after(after)
         self.store.sent.update(event['key'] for event in events)
         self.write({'events': events, 'storeRevision': self.store.revision})
