Upstream: a cancellation as a connection opens is not lost

Before Python 3.12, `asyncio.wait_for` returns the result and drops the cancellation if the awaited task ends in the same step of the event loop. `dial` used it around the connect of the socket.

--- a/src/primrosesaddle/net/upstream.py
+++ b/src/primrosesaddle/net/upstream.py
@@ -424,7 +424,9 @@
     try:
         enable_keepalive(sock)
         target = addresses.split_address(address)
-        await asyncio.wait_for(loop.sock_connect(sock, target), timeout_s)
+        # Before Python 3.12, `wait_for` may lose a cancellation as the socket connects.
+        async with asyncio.timeout(timeout_s):
+            await loop.sock_connect(sock, target)
         _, conn = await loop.create_connection(
             lambda: Connection(address, sock), sock=sock
         )
