Link: a cancellation as an answer of a peer comes is not lost

The same cause as in `upstream.dial`: a task that is cancelled in the step in which the answer to its request arrives went on, and a stop that waits for it, such as an entry's for the task that pulls items, did not end. Seen in a test alone. The other uses of `wait_for` were read only: on the platform, one answers a peer's request for pieces; the rest are of the product's own interface.

--- a/src/primrosesaddle/membership/link.py
+++ b/src/primrosesaddle/membership/link.py
@@ -132,7 +132,9 @@
         """
         stream = self.open_stream(body)
         try:
-            return await asyncio.wait_for(stream.next(), timeout_s)
+            # Before Python 3.12, `wait_for` may lose a cancellation as an answer comes.
+            async with asyncio.timeout(timeout_s):
+                return await stream.next()
         finally:
             stream.close()
 
