--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -542,3 +542,33 @@
         )
 
     reading(check)
+
+
+def test_one_spoilt_era_does_not_lose_the_store_for_good(reading):
+    """All later answers look as if they came from before it."""
+
+    async def check(fixture):
+        fixture.store.era = 2**40
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.store.era = 1
+        await asyncio.sleep(3.0)
+        _assert_equal(fixture.reader.is_store_reachable, True)
+
+    reading(check)
+
+
+def test_store_that_is_behind_is_not_read_in_full_again_and_again(reading):
+    """All items may be megabytes; the position alone tells that it is behind."""
+
+    async def check(fixture):
+        await _until(lambda: fixture.reader.is_store_reachable)
+        fixture.feed.is_selected = True
+        fixture.store.newest_revision = 4
+        fixture.store.is_history_gone = True
+        fixture.store.requests.clear()
+        await asyncio.sleep(3.5)
+        assertions.assert_that(
+            fixture.store.requests.count('all'), matchers.LessThan(3)
+        )
+
+    reading(check)
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import types
 
 import pytest
 from testtools import assertions, matchers
@@ -9,6 +10,7 @@
 import platformstand as stand
 from primrosesaddle.fleet import fleetview
 from primrosesaddle.platform import records
+from primrosesaddle.restrictions import homes
 
 SEEDS = range(60)
 STEPS = 120
@@ -281,6 +283,49 @@
     _assert_equal((list(view.servers), view.position), (['a'], (1, 5)))
 
 
+@pytest.mark.parametrize('kind', ['server', 'configuration', 'version'])
+def test_what_a_restored_store_lacks_is_told_to_a_peer_that_starts(view, clock, kind):
+    """The peer would act otherwise than the process that tells it."""
+    items = {
+        'server': _server_item('a', 4),
+        'configuration': _configuration_item(2, 4),
+        'version': fleetview.Item('op/version/m', b'{"model":"m","version":3}', 4),
+    }
+    _apply_snapshot(view, [items[kind]], 5)
+    _apply_snapshot(view, [], 3, era=2)
+    peer = _make_view(clock)
+    _pull(peer, view)
+    looks = [
+        (
+            sorted(each.servers),
+            getattr(each.configuration, 'version', 0),
+            each.version_ages.get_newest('m'),
+        )
+        for each in (view, peer)
+    ]
+    _assert_equal(looks[1], looks[0])
+
+
+def test_waiting_call_follows_another_configuration_with_its_version(view):
+    """The homes of its route change with the content, not with the version."""
+    _apply_snapshot(view, [_configuration_item(2, 4)], 4)
+    document = stand.configuration(2)
+    first = document['routes'][0]
+    route = view.configuration.find_route(first['host'], first['prefix'])
+    waiting = types.SimpleNamespace(
+        configuration=2,
+        homes_version=0,
+        route=route,
+        target=route.prefix,
+        workspace='',
+        homes=None,
+    )
+    at_home = [{**each, 'allowedRegions': ['r-9']} for each in document['routes']]
+    _apply_snapshot(view, [_configuration_item(2, 6, routes=at_home)], 6, era=2)
+    homes.update_homes(waiting, view.configuration)
+    _assert_equal(waiting.homes, frozenset(('r-9',)))
+
+
 class PlainStore:
     """A store, with the values by key that its writers want it to hold."""
 
