--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -14,6 +14,8 @@
 
 SEEDS = range(60)
 STEPS = 120
+DRAIN_S = 2.0  # within which a server that left gets no more calls
+RETRY_S = 0.6  # the longest delay before the store is asked again
 MAX_COPY_AGE = 12  # steps
 SERVERS = ('a', 'b', 'c', 'd')
 EVACUATION_KEY = 'op/evacuate/z'
@@ -306,6 +308,16 @@
     _assert_equal(looks[1], looks[0])
 
 
+def test_server_removed_between_the_return_and_the_read_is_dropped_in_time(view, clock):
+    """It is in the copy; its removal is acknowledged before an entry reads the era."""
+    _apply_snapshot(view, [_server_item('a', 4)], 5)
+    clock.now += RETRY_S
+    _apply_snapshot(view, [], 6, era=2)
+    clock.now += DRAIN_S - RETRY_S + 0.1
+    view.drop_expired_servers()
+    _assert_equal(list(view.servers), [])
+
+
 def test_waiting_call_follows_another_configuration_with_its_version(view):
     """The homes of its route change with the content, not with the version."""
     _apply_snapshot(view, [_configuration_item(2, 4)], 4)
