Outages: what a peer concludes from its own calls counts only if contact is lost here too

Cause: an entry that was cut off takes that for an outage of the store, keeps servers that are then removed, and tells the others for how long. They kept them as well unless their own answers disproved an outage of the stated length, with 0.5 s to spare at both ends. A short cut could not be disproved, nor one whose calls hung, nor any by an entry that is fed by others and asks the store nothing.

Change: each entry records when it last heard from the store, by an answer or by what a peer has just read (outages.StoreContact). It keeps a removed server on the word of a peer only if a call of its own has failed since, or if it has heard nothing for longer than a watch takes. An outage in which records expire shows itself so at every entry, a cut of another one does not. The outage is no longer passed on; its log event outage.disproved is replaced by outage.not_shared.

Tests: test_cut_of_any_length_of_one_entry_keeps_no_server_at_the_others. The case short-and-unnoticed of test_others_keep_a_removed_server_only_if_the_store_was_away_for_all asked for the fault itself and now asks for the opposite, with two more lengths. In its case for-all the second store was never told of the removal, so that entry was answered in between by a store without it; now both stores agree. In test_view an entry that was to be in contact heard nothing for 2.5 s, longer than any entry does; it now hears every 2 s. The test that an outage is passed on with its age is gone with the message; tests of the new contact take its place.

--- a/src/primrosesaddle/fleet/feed.py
+++ b/src/primrosesaddle/fleet/feed.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from primrosesaddle.core import positions, rendezvous
-from primrosesaddle.fleet import fleetview, keptrecords, outages
+from primrosesaddle.fleet import fleetview, keptrecords
 from primrosesaddle.membership import dispatching, link, membertable, peers, wire
 from primrosesaddle.telemetry import journal
 
@@ -216,6 +216,7 @@
         # A reader that was paused sends items that others have sent in the meantime.
         if body.position > known:
             self.last_update_at = self._clock()
+            self._view.store_contact.record_told()
             if channel.card.region != self._members.card.region:
                 self._send(self._same_region_entries(), body)
 
@@ -336,7 +337,6 @@
                 body.revision,
                 body.era,
                 expiring_s=body.expiring_s,
-                outage=_outage(body),
                 kept=tuple(kept),
             )
             self._view.apply_snapshot(snapshot, name)
@@ -346,7 +346,6 @@
                 body.revision,
                 expiring_s=body.expiring_s,
                 era=body.era,
-                outage=_outage(body),
                 kept=tuple(kept),
             )
             self._view.apply_changes(changes, name)
@@ -375,18 +374,12 @@
             ages_s,
             dict(changes.expiring_s),
             changes.era,
-            changes.outage,
             pack_items(self._view.kept_records.list_remaining())
             if is_snapshot
             else b'',
         )
 
 
-def _outage(body: wire.Items) -> outages.Outage | None:
-    """Return the outage because of which the sender keeps removed items."""
-    return outages.Outage(*body.outage_s) if body.outage_s else None
-
-
 def _exclude(leaders: Sequence[_Leader], tried: set[str]) -> list[_Leader]:
     return [leader for leader in leaders if leader.card.name not in tried]
 
--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -18,9 +18,6 @@
 # Servers whose records expired while the store was unavailable are published again
 # within this time after it is back. The platform states about two seconds.
 EXPIRY_GRACE_S = 2.2
-# Records that expired during an outage are missing from the first read after it. A
-# server removed later than this after the outage has left by itself.
-OUTAGE_REMOVAL_WINDOW_S = 0.3
 # What a restored store has lost is published again within this time. After it the store
 # holds: a server that it lists has not fallen silent, and an evacuation that it lacks
 # may have been ended.
@@ -41,7 +38,6 @@
     era: int = 0
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
-    outage: outages.Outage | None = None
     kept: tuple[keptrecords.KeptRecord, ...] = ()
 
     @property
@@ -55,8 +51,8 @@
 
     `unseen_s` is the time before this read in which the source was not read.
     `expiring_s` maps keys of removed items to the seconds for which they are still
-    kept, because they may be published again after an outage. `outage` is that outage.
-    `kept` are records that hold in place of items.
+    kept, because they may be published again after an outage. `kept` are records that
+    hold in place of items.
     """
 
     items: list[Item]
@@ -64,7 +60,6 @@
     unseen_s: float = 0.0
     expiring_s: Mapping[str, float] = types.MappingProxyType({})
     era: int = 0
-    outage: outages.Outage | None = None
     kept: tuple[keptrecords.KeptRecord, ...] = ()
 
     @property
@@ -93,10 +88,10 @@
     until it is published again, for a limited time if the store lacks it.
 
     `configuration`, `servers` (by server id) and `evacuations` (by key) are the decoded
-    records, `version_ages` the ages of announced versions, `store_answers` the times at
-    which the store answered this process, `kept_records` the records that hold in place
-    of items. After the revision `history_from` of this era all removals are known.
-    `listeners` are called after a change.
+    records, `version_ages` the ages of announced versions. `store_contact` tells
+    whether an outage of the store may have been missed. `kept_records` are those that
+    hold in place of items. After the revision `history_from` of this era all removals
+    are known. `listeners` are called after a change.
     """
 
     def __init__(
@@ -119,8 +114,6 @@
         self.kept_records = keptrecords.KeptRecords(clock)
         self._expiring_at: dict[str, float] = {}
         self._store_recovered_at = -EXPIRY_GRACE_S
-        self._outage: outages.Outage | None = None  # as of `_outage_known_at`
-        self._outage_known_at = 0.0
         self._server_ids_by_key: dict[str, str] = {}
         self.history_from = 0
         self._has_read_store = False
@@ -130,7 +123,7 @@
         self.servers: dict[str, servers.BackendServer] = {}
         self.evacuations: dict[str, servers.Evacuation] = {}
         self.version_ages = versionages.VersionAges(clock, assumed_age_s)
-        self.store_answers = outages.StoreAnswers(clock)
+        self.store_contact = outages.StoreContact(clock)
         self.era = 0
         self.revision = 0
         self.listeners: list[Listener] = []
@@ -155,20 +148,19 @@
         if snapshot.revision > self.revision:
             # Items added and removed in between are not among the known removals.
             self.history_from = snapshot.revision
-        expiring_s = snapshot.expiring_s
-        if is_restored:
-            graces_s = {item.key: EXPIRY_GRACE_S for item in absent}
-            expiring_s = {**graces_s, **expiring_s}
         changes = Changes(
             [*snapshot.items, *absent],
             snapshot.revision,
             snapshot.unseen_s,
-            expiring_s,
+            snapshot.expiring_s,
             snapshot.era,
-            None if is_restored else snapshot.outage,
             snapshot.kept,
         )
-        self.apply_changes(changes, source)
+        if is_restored:
+            graces_s = {item.key: EXPIRY_GRACE_S for item in absent}
+            self._apply_changes(changes, source, {**graces_s, **snapshot.expiring_s})
+        else:
+            self.apply_changes(changes, source)
 
     def apply_changes(self, changes: Changes, source: str) -> None:
         """Apply changes; `source` is `STORE` or the name of a peer.
@@ -181,11 +173,16 @@
             return
         if source != STORE and changes.revision < self.revision:
             return
+        self._apply_changes(changes, source, self._accept_expiring(changes, source))
+
+    def _apply_changes(
+        self, changes: Changes, source: str, expiring_s: Mapping[str, float]
+    ) -> None:
         is_watched = source == STORE and self._has_read_store
         origin = _Origin(
             source,
             self._unseen.estimate_s(changes.unseen_s) if is_watched else math.inf,
-            self._accept_expiring(changes),
+            expiring_s,
         )
         changed = False
         for item in changes.items:
@@ -197,13 +194,9 @@
         if changed:
             self._call_listeners()
 
-    def record_store_recovery(self, outage: outages.Outage | None = None) -> None:
-        """Record that the store answers again after an outage.
-
-        Peers that the store answered during the outage keep no servers because of it.
-        """
+    def record_store_recovery(self) -> None:
+        """Record that the store answers again after an outage."""
         self._store_recovered_at = self._clock()
-        self._record_outage(outage)
 
     @property
     def position(self) -> positions.Position:
@@ -222,17 +215,7 @@
         lapsing_s = {
             key: expires_at - now for key, expires_at in self._expiring_at.items()
         }
-        outage = self._outage
-        if outage is not None:
-            since_s = now - self._outage_known_at
-            outage = outages.Outage(*(at_s + since_s for at_s in outage))
-        return Changes(
-            newer,
-            self.revision,
-            expiring_s=lapsing_s,
-            era=self.era,
-            outage=outage,
-        )
+        return Changes(newer, self.revision, expiring_s=lapsing_s, era=self.era)
 
     def drop_expired_servers(self) -> None:
         """Drop records that the store lost and that were not published again in time.
@@ -480,29 +463,24 @@
         if key not in self._server_ids_by_key:
             return 0.0
         since_recovery_s = self._clock() - self._store_recovered_at
-        if since_recovery_s <= OUTAGE_REMOVAL_WINDOW_S:
+        if since_recovery_s <= outages.REMOVAL_WINDOW_S:
             return EXPIRY_GRACE_S - since_recovery_s
         return origin.expiring_s.get(key, 0.0)
 
-    def _accept_expiring(self, changes: Changes) -> Mapping[str, float]:
+    def _accept_expiring(self, changes: Changes, source: str) -> Mapping[str, float]:
         """Return which removed items are kept, and for how many seconds.
 
         There are none if the peer alone was without the store: they have left.
         """
-        if not changes.expiring_s:
+        if not changes.expiring_s or self.store_contact.may_have_missed_outage:
             return changes.expiring_s
-        if changes.outage and self.store_answers.disproves(changes.outage):
-            journal.info(
-                'outage.disproved', failing_s=round(changes.outage.failing_s, 2)
-            )
-            return {}
-        self._record_outage(changes.outage)
-        return changes.expiring_s
-
-    def _record_outage(self, outage: outages.Outage | None) -> None:
-        # Records that are kept for another reason may not have left.
-        self._outage = None if self._expiring_at else outage
-        self._outage_known_at = self._clock()
+        journal.info(
+            'outage.not_shared',
+            source=source,
+            keys=sorted(changes.expiring_s),
+            silent_s=round(self.store_contact.silent_s, 2),
+        )
+        return types.MappingProxyType({})
 
     def _drop_record(self, key: str, why: str) -> bool:
         """Remove the evacuation or server of a key; tell whether there was one."""
--- a/src/primrosesaddle/fleet/outages.py
+++ b/src/primrosesaddle/fleet/outages.py
@@ -1,61 +1,63 @@
-"""Outages of the store: what one entry saw, and what answers to others show."""
+"""Contact with the store: whether this process may have missed an outage of it."""
 
-import collections
-import typing
+import math
 from collections.abc import Callable
 
-__all__ = ('Outage', 'StoreAnswers')
+__all__ = ('StoreContact',)
 
-MAX_ANSWERS = 128
-MIN_INTERVAL_S = 0.1  # between answers that are kept
-# The times of an outage reach a peer with the delay of the message.
-MESSAGE_DELAY_S = 0.5
+# A process in contact hears from the store within this time: a watch without changes
+# is answered after 2 s.
+MAX_SILENCE_S = 2.4
+# Records that expired during an outage are missing from the first read after it. A
+# server removed later than this after the outage has left by itself.
+REMOVAL_WINDOW_S = 0.3
 
 
-class Outage(typing.NamedTuple):
-    """A time without the store, in seconds before now.
+class StoreContact:
+    """When this process last heard from the store, itself or through a peer.
 
-    `failing_s` is the time since the first call failed, `asked_s` the time since the
-    last call that failed was made. An outage of the store for all lasted from the one
-    to the other, and possibly longer.
+    An outage in which records expire lasts longer than `MAX_SILENCE_S`, and fails the
+    calls of every process that makes one. What a peer concludes from its own calls
+    therefore holds here only if this process has lost contact, too.
     """
 
-    failing_s: float
-    asked_s: float
-
-
-class StoreAnswers:
-    """When the store answered this process, and when it last failed to."""
-
     def __init__(self, clock: Callable[[], float]) -> None:
-        """Create an empty record."""
+        """Create the contact of a process that has not heard from the store yet."""
         self._clock = clock
-        self._answers: collections.deque[tuple[float, float]] = collections.deque(
-            maxlen=MAX_ANSWERS
-        )
-        self._failed_at: float | None = None
+        self._heard_at = -math.inf
+        self._has_failed = False  # since the last answer
+        self._regained_at = -math.inf
 
     def record_answer(self, age_s: float) -> None:
         """Record an answer of the store, whose content was current `age_s` ago."""
-        now = self._clock()
-        if not self._answers or now - self._answers[-1][1] >= MIN_INTERVAL_S:
-            self._answers.append((now - age_s, now))
+        self._record_heard(self._clock() - age_s)
+        self._has_failed = False
+
+    def record_told(self) -> None:
+        """Record that a peer has sent what it had just read."""
+        self._record_heard(self._clock())
 
     def record_failure(self) -> None:
         """Record that a call to the store failed."""
-        self._failed_at = self._clock()
-
-    def disproves(self, outage: Outage) -> bool:
-        """Tell whether the store answered this process during a peer's outage.
-
-        A process whose own calls failed then can't tell.
-        """
-        now = self._clock()
-        began_at = now - outage.failing_s
-        if self._failed_at is not None and self._failed_at >= began_at:
-            return False
-        ended_at = now - outage.asked_s - MESSAGE_DELAY_S
-        return any(
-            known_at > began_at + MESSAGE_DELAY_S and answered_at < ended_at
-            for known_at, answered_at in self._answers
-        )
+        self._has_failed = True
+
+    @property
+    def silent_s(self) -> float:
+        """Return the seconds since this process heard from the store."""
+        return self._clock() - self._heard_at
+
+    @property
+    def may_have_missed_outage(self) -> bool:
+        """Tell whether the store may have been away without this process knowing."""
+        if self._clock() - self._regained_at <= REMOVAL_WINDOW_S:
+            return True
+        return self._is_lost
+
+    @property
+    def _is_lost(self) -> bool:
+        return self._has_failed or self.silent_s >= MAX_SILENCE_S
+
+    def _record_heard(self, known_at: float) -> None:
+        if self._is_lost:
+            self._regained_at = self._clock()
+        self._heard_at = max(self._heard_at, known_at)
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from primrosesaddle.core import backoff, positions
-from primrosesaddle.fleet import feed, fleetview, outages
+from primrosesaddle.fleet import feed, fleetview
 from primrosesaddle.net import call
 from primrosesaddle.telemetry import journal
 
@@ -87,7 +87,6 @@
         self._clock = clock
         self._failures = 0
         self._failing_since = 0.0
-        self._last_failed_from = 0.0  # when the last call that failed was made
         self._others_served_at: float | None = None  # first evidence of that
         self._regained_at = 0.0
         self._has_read = False  # all items, and every change since
@@ -102,16 +101,15 @@
             if self._is_fed_by_peers():
                 await asyncio.sleep(POLL_INTERVAL_S)
                 continue
-            began_at = self._clock()
             try:
                 await self._update()
                 continue
             except call.CallFailed as exc:
-                self._record_failure(exc, began_at)
+                self._record_failure(exc)
             except Exception as exc:
                 # The task must go on, because nothing restarts it.
                 journal.error('reader.failed', error=repr(exc))
-                self._record_failure(exc, began_at)
+                self._record_failure(exc)
             await asyncio.sleep(
                 backoff.delay_s(
                     self._failures, RETRY_FIRST_S, RETRY_CEILING_S, self._rand
@@ -232,10 +230,9 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self._record_success(began_at)
 
-    def _record_failure(self, exc: Exception, began_at: float) -> None:
+    def _record_failure(self, exc: Exception) -> None:
         self._failures += 1
-        self._last_failed_from = began_at
-        self._view.store_answers.record_failure()
+        self._view.store_contact.record_failure()
         if self._failures == 1:
             self._failing_since = self._clock()
             self._others_served_at = None
@@ -270,12 +267,9 @@
     def _record_success(self, known_at: float) -> None:
         """Record an answer of the store, whose content was current at `known_at`."""
         if self._is_outage and not self._is_own_outage:
-            now = self._clock()
-            self._view.record_store_recovery(
-                outages.Outage(now - self._failing_since, now - self._last_failed_from)
-            )
+            self._view.record_store_recovery()
         # The view's clock may be ahead, by the time for which the machine slept.
-        self._view.store_answers.record_answer(self._clock() - known_at)
+        self._view.store_contact.record_answer(self._clock() - known_at)
         if not self.is_store_reachable:
             self._regained_at = self._clock()
         self._last_read_at = known_at
--- a/src/primrosesaddle/membership/wire.py
+++ b/src/primrosesaddle/membership/wire.py
@@ -247,9 +247,8 @@
     With `is_snapshot`, items that are missing here have been removed. `version_ages_s`
     maps version labels to seconds since their announcement. `expiring_s` maps keys of
     removed items to the seconds for which they are still kept, because they may be
-    published again after an outage of the store. `outage_s` is that outage: the seconds
-    since the first call to the store failed, and since the last one that failed began.
-    `kept` are records that hold in place of items, packed by the feed.
+    published again after an outage of the store. `kept` are records that hold in place
+    of items, packed by the feed.
     """
 
     packed: bytes
@@ -259,7 +258,6 @@
     version_ages_s: dict[str, float]
     expiring_s: dict[str, float] = {}
     era: int = 0
-    outage_s: tuple[float, float] | None = None
     kept: bytes = b''
 
     @property
--- a/tests/test_own_cut.py
+++ b/tests/test_own_cut.py
@@ -21,8 +21,14 @@
         self._store = store
         self._server = None
         self._writers = set()
+        self._passes = asyncio.Event()
+        self._passes.set()
 
     async def open(self):
+        """Let connections and bytes through."""
+        self._passes.set()
+        if self._server is not None and self._server.is_serving():
+            return
         host, _, port = self.address.rpartition(':')
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
@@ -32,6 +38,10 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def silence(self):
+        """Hold up all bytes, as a partition does."""
+        self._passes.clear()
+
     async def _serve(self, reader, writer):
         host, _, port = self._store.rpartition(':')
         store_reader, store_writer = await asyncio.open_connection(host, int(port))
@@ -39,7 +49,7 @@
         self._writers |= writers
         try:
             await asyncio.gather(
-                _copy(reader, store_writer), _copy(store_reader, writer)
+                self._copy(reader, store_writer), self._copy(store_reader, writer)
             )
         except ConnectionError:
             pass
@@ -48,12 +58,12 @@
             for each in writers:
                 each.close()
 
-
-async def _copy(reader, writer):
-    while part := await reader.read(READ_BYTES):
-        writer.write(part)
-        await writer.drain()
-    writer.close()
+    async def _copy(self, reader, writer):
+        while part := await reader.read(READ_BYTES):
+            await self._passes.wait()
+            writer.write(part)
+            await writer.drain()
+        writer.close()
 
 
 @pytest.fixture
@@ -118,3 +128,49 @@
         assertions.assert_that(_knows(cut), matchers.Equals(True))
 
     before_doors(check)
+
+
+def _cut(door, is_silent):
+    if is_silent:
+        door.silence()
+    else:
+        door.cut()
+
+
+async def _announce_often(store):
+    """Change something all the time, so that entries feed each other."""
+    for version in range(1, 1000):
+        store.put('op/version/busy', {'model': 'busy', 'version': version})
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize(
+    ('cut_s', 'is_silent', 'is_busy'),
+    [
+        pytest.param(0.6, False, False, id='short'),
+        pytest.param(1.2, False, True, id='short-and-busy'),
+        pytest.param(2.0, False, True, id='longer-and-busy'),
+        pytest.param(3.5, True, False, id='silent'),
+        pytest.param(5.5, True, False, id='silent-and-longest'),
+    ],
+)
+def test_cut_of_any_length_of_one_entry_keeps_no_server_at_the_others(
+    before_doors, cut_s, is_silent, is_busy
+):
+    """Guards against calls to a removed server because a peer has lost the store."""
+
+    async def check(fleet, doors):
+        busy = asyncio.create_task(_announce_often(fleet.store)) if is_busy else None
+        cut = _first_reader(fleet, doors)
+        _cut(doors[cut.cfg.name], is_silent)
+        await asyncio.sleep(cut_s)
+        if busy is not None:
+            busy.cancel()
+        fleet.store.mute = True
+        fleet.store.remove('servers/i-a')
+        await doors[cut.cfg.name].open()
+        others = [entry for entry in fleet.entries if entry is not cut]
+        async with asyncio.timeout(fleet.cfg.bounds.drain_s):
+            await fleet.until(lambda: not any(_knows(entry) for entry in others))
+
+    before_doors(check)
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -319,7 +319,7 @@
         async def change():
             fixture.store.items.clear()
             fixture.store.newest_revision = 7
-            fixture.store.delay_s = READ_S + fleetview.OUTAGE_REMOVAL_WINDOW_S
+            fixture.store.delay_s = READ_S + outages.REMOVAL_WINDOW_S
             fixture.store.faults += [call.CallFailed('down'), call.CallFailed('down')]
             fixture.store.is_history_gone = True
 
@@ -456,7 +456,9 @@
     [
         pytest.param(3.5, False, False, id='own'),
         pytest.param(3.5, True, True, id='for-all'),
-        pytest.param(0.7, False, True, id='short-and-unnoticed'),
+        pytest.param(0.7, False, False, id='own-and-short'),
+        pytest.param(1.2, False, False, id='own-1.2'),
+        pytest.param(2.0, False, False, id='own-2.0'),
     ],
 )
 def test_others_keep_a_removed_server_only_if_the_store_was_away_for_all(
@@ -475,9 +477,10 @@
         _start_cut([each.store for each in both if is_for_all or each is fixture])
         await _until(lambda: len(fixture.store.faults) < 40)
         await asyncio.sleep(cut_s)
-        fixture.store.items[:] = [fleetview.Item('servers/a', None, 7)]
-        fixture.store.newest_revision = 7
-        for each in both:
+        # Entries that were served all the while have not asked again yet.
+        for each in both if is_for_all else [fixture]:
+            each.store.items[:] = [fleetview.Item('servers/a', None, 7)]
+            each.store.newest_revision = 7
             each.store.faults.clear()
         await _until(lambda: fixture.view.revision == 7)
         told = fixture.view.get_changes_since(6)
@@ -517,12 +520,13 @@
     reading(check)
 
 
-def test_answers_disprove_an_outage_on_a_machine_that_has_slept(reading):
+def test_answers_count_as_contact_on_a_machine_that_has_slept(reading):
     """The clocks of reader and view are apart by the time of the sleep."""
 
     async def check(fixture):
-        outage = outages.Outage(failing_s=2.0, asked_s=0.0)
-        await _until(lambda: fixture.view.store_answers.disproves(outage))
+        contact = fixture.view.store_contact
+        await _until(lambda: not contact.may_have_missed_outage)
+        _assert_equal(contact.silent_s < 2.0, True)
 
     reading(check, slept_s=1000.0)
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -5,7 +5,7 @@
 import pytest
 from testtools import assertions, matchers
 
-from primrosesaddle.fleet import fleetview, outages
+from primrosesaddle.fleet import fleetview
 from primrosesaddle.platform import records
 
 
@@ -98,50 +98,68 @@
 
 def _remove_by_peer(view, clock, answered_at):
     """Apply a removal by a peer that was without the store from 10 to 14 s."""
-    clock.now = 8.0
     view.apply_changes(fleetview.Changes([_server_item('a', 5)], 5), 'store')
     for at in answered_at:
         clock.now = at
-        view.store_answers.record_answer(0.0)
+        view.store_contact.record_answer(0.0)
     clock.now = 14.2
     changes = fleetview.Changes(
-        [fleetview.Item('servers/a', None, 6)],
-        6,
-        expiring_s={'servers/a': 2.2},
-        outage=outages.Outage(failing_s=4.2, asked_s=0.2),
+        [fleetview.Item('servers/a', None, 6)], 6, expiring_s={'servers/a': 2.2}
     )
     view.apply_changes(changes, 'peer')
 
 
 def test_removal_by_a_peer_that_alone_lost_the_store_takes_effect_at_once(view, clock):
     """The store answered this entry, so there was no outage in which records expire."""
-    _remove_by_peer(view, clock, [9.0, 11.5, 14.1])
+    _remove_by_peer(view, clock, [9.0, 11.0, 13.0, 14.1])
     _assert_equal(view.servers, {})
     _assert_equal(view.get_changes_since(5).expiring_s, {})
 
 
+@pytest.mark.parametrize('silent_s', [0.1, 1.0, 2.0, 2.3])
+def test_removal_is_not_kept_by_an_entry_that_has_just_heard_from_the_store(
+    view, clock, silent_s
+):
+    """However short the time was in which the peer could not reach the store."""
+    _remove_by_peer(view, clock, [9.0, 14.2 - silent_s - 1.0, 14.2 - silent_s])
+    _assert_equal(view.servers, {})
+
+
+def test_entry_that_is_told_of_changes_by_others_is_in_contact(view, clock):
+    """It asks the store nothing while others send it what they have read."""
+    for at in (9.0, 10.5, 12.0, 13.5):
+        clock.now = at
+        view.store_contact.record_told()
+    _remove_by_peer(view, clock, [])
+    _assert_equal(view.servers, {})
+
+
 @pytest.mark.parametrize('answered_at', [[9.9], [14.1], [8.5, 9.9, 13.9]])
-def test_answers_before_and_after_an_outage_do_not_disprove_it(
+def test_removal_is_kept_by_an_entry_that_did_not_hear_from_the_store_either(
     view, clock, answered_at
 ):
-    """Times from a peer are late by the delay of its message."""
+    """Its own calls may hang, and be answered as the store is back."""
     _remove_by_peer(view, clock, answered_at)
     _assert_equal(sorted(view.servers), ['a'])
 
 
-def test_slow_answer_does_not_disprove_an_outage(view, clock):
+def test_slow_answer_does_not_show_that_there_was_no_outage(view, clock):
     """The call may have waited until the store was back."""
+    clock.now = 9.9
+    view.store_contact.record_answer(0.0)
     clock.now = 13.9
-    view.store_answers.record_answer(1.9)
+    view.store_contact.record_answer(1.9)
     _remove_by_peer(view, clock, [])
     _assert_equal(sorted(view.servers), ['a'])
 
 
-def test_entry_that_lost_the_store_too_does_not_disprove_an_outage(view, clock):
+def test_removal_is_kept_by_an_entry_whose_last_call_failed(view, clock):
     """The store may have answered it once between two outages."""
+    clock.now = 12.5
+    view.store_contact.record_answer(0.0)
     clock.now = 13.0
-    view.store_answers.record_failure()
-    _remove_by_peer(view, clock, [11.5])
+    view.store_contact.record_failure()
+    _remove_by_peer(view, clock, [])
     _assert_equal(sorted(view.servers), ['a'])
 
 
@@ -151,27 +169,13 @@
 ):
     """They are published again, unlike those that the same store lacks."""
     view.apply_changes(fleetview.Changes([_server_item('a', 5)], 5), 'store')
-    clock.now = 11.5
-    view.store_answers.record_answer(0.0)
+    for at in (11.5, 13.5):
+        clock.now = at
+        view.store_contact.record_answer(0.0)
     clock.now = 14.2
-    snapshot = fleetview.Snapshot(
-        [],
-        6,
-        era,
-        expiring_s={'servers/a': 2.2},
-        outage=outages.Outage(failing_s=4.2, asked_s=0.2),
-    )
+    snapshot = fleetview.Snapshot([], 6, era, expiring_s={'servers/a': 2.2})
     view.apply_snapshot(snapshot, 'peer')
     _assert_equal('a' in view.servers, bool(era))
-    _assert_equal(view.get_changes_since(0).outage, None)
-
-
-def test_outage_is_passed_on_with_its_age(view, clock):
-    """The next entry compares it with the answers that it has had itself."""
-    _remove_by_peer(view, clock, [])
-    clock.now += 1.0
-    failing_s, asked_s = view.get_changes_since(5).outage
-    _assert_equal((round(failing_s, 3), round(asked_s, 3)), (5.2, 1.2))
 
 
 def test_version_found_after_time_without_a_read_has_the_age_of_that_time(view, clock):
