Homes: a waiting call follows another configuration with the version in force

Callers would see: after a restoration of the store, in which an operator gives the version of a lost configuration to another one, calls that wait go on by the homes of the lost one, so that they are sent to a region that their route no longer allows, or wait for servers of one that it does.

Cause: the homes of a waiting call were brought up to date only if the version of the configuration was higher than the one they came from.

Change: a call keeps the configuration by which its homes were computed, and compares that itself. A process never goes back to an earlier one, so no order is needed.

--- a/src/primrosesaddle/calls/intake.py
+++ b/src/primrosesaddle/calls/intake.py
@@ -248,4 +248,5 @@
         resume_from=incoming.resume_from,
         parts=incoming.parts,
         homes=routes.compute_homes(route, workspace),
+        homes_source=conf,
     )
--- a/src/primrosesaddle/calls/request.py
+++ b/src/primrosesaddle/calls/request.py
@@ -36,8 +36,8 @@
     of the parts of its prompt that other calls may share. `is_trial` is set when it is
     to show whether one of them still crashes servers, `was_cut_off` when a server that
     may have run it closed the connection. `homes` lists the regions in which it may be
-    served and stored, None for all, `homes_version` the version of the configuration
-    by which they were last brought up to date, 0 for that of its arrival. `answers`
+    served and stored, None for all, `homes_source` is the configuration by which they
+    were last brought up to date. `answers`
     holds what agents said of their servers' load when they were asked for this call,
     by the ids of the servers. `longest_pause_s` is the longest time between events of
     its stream.
@@ -74,7 +74,7 @@
     is_trial: bool = False
     was_cut_off: bool = False
     homes: frozenset[str] | None = None
-    homes_version: int = 0
+    homes_source: routes.Configuration | None = None
     answers: dict[str, asking.Answer] = dataclasses.field(default_factory=dict)
 
     @property
--- a/src/primrosesaddle/restrictions/homes.py
+++ b/src/primrosesaddle/restrictions/homes.py
@@ -46,11 +46,12 @@
     """Bring the homes of a call up to date with the configuration in force.
 
     A call that waits follows a list that changes meanwhile. It keeps its homes if its
-    route or workspace is no longer there.
+    route or workspace is no longer there. Configurations are compared by identity: an
+    operator who has lost one may give its version to another.
     """
-    if conf is None or conf.version <= max(call.configuration, call.homes_version):
+    if conf is None or conf is call.homes_source:
         return
-    call.homes_version = conf.version
+    call.homes_source = conf
     route = conf.find_route(call.route.host, call.target.partition('?')[0])
     workspace = conf.find_workspace_by_name(call.workspace)
     if route is None or (call.workspace and workspace is None):
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -325,8 +325,7 @@
     first = document['routes'][0]
     route = view.configuration.find_route(first['host'], first['prefix'])
     waiting = types.SimpleNamespace(
-        configuration=2,
-        homes_version=0,
+        homes_source=view.configuration,
         route=route,
         target=route.prefix,
         workspace='',
