View: what a restored store lacks is told to entries that start

Callers would see: an entry that starts after a restoration refuses calls (503) of routes that the others serve, as it knows no configuration; it does not use servers that the others use for 2.2 s more, and begins calls on an older version of the weights than the others require.

Cause: items that a copy lacks altogether held only as decoded records of the processes that knew them. Only evacuations, and newer states of items that are listed, were kept records, which peers are told.

Change: at the begin of an era all known records that are not listed become kept records: servers for 2.2 s, evacuations for 10 s, the configuration in force and announced versions until they are published again. They are no removals of the era, so a removal that does come afterwards ends a kept record at once, and a peer's word does not bring back what was removed since. Of two entries that keep the same record the shorter time holds.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -136,8 +136,7 @@
         """
         if snapshot.era < self.era:
             return
-        is_restored = snapshot.era > self.era
-        if is_restored:
+        if snapshot.era > self.era:
             self._begin_era(snapshot, source)
         present = {item.key for item in snapshot.items}
         absent = [
@@ -156,11 +155,7 @@
             snapshot.era,
             snapshot.kept,
         )
-        if is_restored:
-            graces_s = {item.key: EXPIRY_GRACE_S for item in absent}
-            self._apply_changes(changes, source, {**graces_s, **snapshot.expiring_s})
-        else:
-            self.apply_changes(changes, source)
+        self.apply_changes(changes, source)
 
     def apply_changes(self, changes: Changes, source: str) -> None:
         """Apply changes; `source` is `STORE` or the name of a peer.
@@ -173,16 +168,11 @@
             return
         if source != STORE and changes.revision < self.revision:
             return
-        self._apply_changes(changes, source, self._accept_expiring(changes, source))
-
-    def _apply_changes(
-        self, changes: Changes, source: str, expiring_s: Mapping[str, float]
-    ) -> None:
         is_watched = source == STORE and self._has_read_store
         origin = _Origin(
             source,
             self._unseen.estimate_s(changes.unseen_s) if is_watched else math.inf,
-            expiring_s,
+            self._accept_expiring(changes, source),
         )
         changed = False
         for item in changes.items:
@@ -240,7 +230,7 @@
         """Order all known items anew, by the revisions of a restored store.
 
         The newest known state of a record holds in place of an older one that is
-        listed, and an evacuation in place of none.
+        listed, and in place of none.
         """
         listed = {item.key: item for item in snapshot.items if item.body is not None}
         outdated = self._find_outdated(listed)
@@ -250,10 +240,7 @@
             )
             for key in outdated
         ]
-        kept += [
-            keptrecords.KeptRecord(key, self._held_body(key), 0, RESTORATION_S)
-            for key in self.evacuations.keys() - listed.keys()
-        ]
+        kept += self._find_lacking(listed)
         if self.position != positions.START:
             journal.warning(
                 'store.era',
@@ -267,6 +254,8 @@
         self.kept_records.clear()
         for record in kept:
             self.kept_records.add(record)
+        for key in self._items.keys() - listed.keys():
+            self._store_removal(Item(key, None, 0))
         for known in (self._items, self._removed):
             for key, item in known.items():
                 known[key] = item._replace(revision=0)
@@ -288,6 +277,35 @@
             and self._held_body(key) != item.body
         }
 
+    def _find_lacking(self, listed: Mapping[str, Item]) -> list[keptrecords.KeptRecord]:
+        """Return the known records that are not listed, for as long as each holds.
+
+        Servers that expired before are none: they hold only until then.
+        """
+        held = {key: item.body for key, item in self._items.items()}
+        held |= {kept.key: kept.body for kept in self.kept_records.list_remaining()}
+        lacking = []
+        for key, body in held.items():
+            if key in listed or key in self._expiring_at or body is None:
+                continue
+            for_s = self._restoration_time_s(key, body)
+            if for_s > 0:
+                lacking.append(keptrecords.KeptRecord(key, body, 0, for_s))
+        return lacking
+
+    def _restoration_time_s(self, key: str, body: bytes) -> float:
+        """Return for how long a record holds that a restored store lacks."""
+        if key in self._server_ids_by_key:
+            return EXPIRY_GRACE_S
+        if key in self.evacuations:
+            return RESTORATION_S
+        try:
+            record = self._decode(key, body)
+        except (msgspec.MsgspecError, ValueError):
+            return 0.0
+        is_permanent = isinstance(record, routes.Configuration | servers.WantedVersion)
+        return math.inf if is_permanent else 0.0
+
     def _has_left_since(self, item: Item) -> bool:
         """Tell whether an item that may not have been seen is of a server that left."""
         known = self.servers.get(self._server_ids_by_key.get(item.key, ''))
@@ -328,9 +346,12 @@
 
     def _adopt_kept(self, told: keptrecords.KeptRecord, origin: _Origin) -> bool:
         """Adopt a record that a peer holds in place of an item known here."""
-        item = self._items.get(told.key)
+        item = self._items.get(told.key) or self._removed.get(told.key)
         revision = 0 if item is None else item.revision
-        if told.key in self.kept_records or revision != told.revision:
+        if revision != told.revision:
+            return False
+        if told.key in self.kept_records:
+            self.kept_records.shorten(told)
             return False
         self.kept_records.add(told)
         if told.body is None:
--- a/src/primrosesaddle/fleet/keptrecords.py
+++ b/src/primrosesaddle/fleet/keptrecords.py
@@ -47,6 +47,13 @@
         """Return the kept record of a key, or None."""
         return self._records.get(key)
 
+    def shorten(self, record: KeptRecord) -> None:
+        """Keep a record no longer than a peer that keeps the same one."""
+        known = self._records[record.key]
+        if known.body == record.body:
+            until = self._clock() + record.for_s
+            self._until[record.key] = min(self._until[record.key], until)
+
     def discard(self, key: str) -> None:
         """Keep a record no longer, if it is kept."""
         self._records.pop(key, None)
@@ -58,10 +65,13 @@
         self._until.clear()
 
     def replaces(self, item: items.Item) -> bool:
-        """Tell whether a record holds in place of an item, or of its removal."""
+        """Tell whether a record holds in place of an item."""
         kept = self._records.get(item.key)
-        revision = 0 if item.body is None else item.revision
-        return kept is not None and kept.revision == revision
+        return (
+            kept is not None
+            and item.body is not None
+            and kept.revision == item.revision
+        )
 
     def pop_expired(self) -> list[str]:
         """Remove the records that were kept long enough, and return their keys."""
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -8,7 +8,7 @@
 from testtools import assertions, matchers
 
 import platformstand as stand
-from primrosesaddle.fleet import fleetview
+from primrosesaddle.fleet import fleetview, keptrecords
 from primrosesaddle.platform import records
 from primrosesaddle.restrictions import homes
 
@@ -147,9 +147,24 @@
 
 def test_grace_time_of_a_restoration_is_taken_from_a_peer(view):
     """The peer adopted the era before, so less of the time is left."""
-    _apply_snapshot(view, [_server_item('a', 4)], 5)
-    _apply_snapshot(view, [], 3, era=2, source='peer', expiring_s={'servers/a': 0.5})
-    _assert_equal(view.get_changes_since(0).expiring_s, {'servers/a': 0.5})
+    item = _server_item('a', 4)
+    _apply_snapshot(view, [item], 5)
+    kept = (keptrecords.KeptRecord(item.key, item.body, 0, 0.5),)
+    _apply_snapshot(view, [], 3, era=2, source='peer', kept=kept)
+    _assert_equal(view.kept_records.list_remaining(), kept)
+
+
+def test_server_that_registers_again_and_leaves_at_once_is_dropped(view, clock):
+    """A peer that has not read that yet does not bring it back."""
+    peer = _make_view(clock)
+    for each in (view, peer):
+        _apply_snapshot(each, [_server_item('a', 4)], 5)
+        _apply_snapshot(each, [], 3, era=2)
+    _apply_changes(view, [_removal('a', 5)], era=2)
+    _assert_equal((list(view.servers), list(peer.servers)), ([], ['a']))
+    kept = peer.kept_records.list_remaining()
+    view.apply_changes(fleetview.Changes([], 5, era=2, kept=kept), 'peer')
+    _assert_equal(list(view.servers), [])
 
 
 def test_evacuation_that_a_restored_store_lacks_is_kept_for_a_time(view, clock):
