Reader: a store that is behind is asked for its position before all items are read

Callers saw nothing of it; the store was read in full at each retry, about twice a second and entry, for as long as it stayed behind. All items may be megabytes, and such reads fill the links between regions that calls use.

Cause: where the history is gone, all items are read, and only then their position is compared with what is known. The retry began with all items again.

Change: after an answer from before what is known, the position is asked for first.

--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -90,6 +90,7 @@
         self._others_served_at: float | None = None  # first evidence of that
         self._regained_at = 0.0
         self._has_read = False  # all items, and every change since
+        self._is_behind = False  # the store, by its last answer
         # The store no longer has the changes after this revision. All items are read,
         # unless a peer has sent what is missing: reads by all entries at once would
         # fill the links between regions for longer than a read may take.
@@ -162,8 +163,11 @@
         began_at = self._clock()
         known = self._view.position
         last_update_at = self._last_update_at
+        if self._is_behind:
+            # All items may be megabytes.
+            self._check_not_behind(await self._source.position(), known)
         snapshot = await self._source.read_all()
-        _check_not_behind(snapshot.position, known)
+        self._check_not_behind(snapshot.position, known)
         unseen_s = self._unseen_s(last_update_at, self._clock())
         self._record_success(began_at)
         self._view.apply_snapshot(snapshot._replace(unseen_s=unseen_s), fleetview.STORE)
@@ -196,7 +200,7 @@
             if is_gone_again:
                 raise call.CallFailed(f'the changes after {known} are gone again')
             return
-        _check_not_behind(changes.position, known)
+        self._check_not_behind(changes.position, known)
         self._record_success(answered_at if is_watching else began_at)
         self._view.apply_changes(changes._replace(unseen_s=unseen_s), fleetview.STORE)
         self._has_read = True
@@ -220,7 +224,7 @@
         began_at = self._clock()
         known = self._view.position
         newest = await self._source.position()
-        _check_not_behind(newest, known)
+        self._check_not_behind(newest, known)
         receive_until = self._clock() + self._receive_timeout_s
         while self._view.position < newest:
             if self._clock() >= receive_until:
@@ -279,12 +283,14 @@
         away_s = round(self._clock() - self._failing_since, 3)
         journal.info('store.regained', away_s=away_s, alone=self._is_own_outage)
 
+    def _check_not_behind(
+        self, answered: positions.Position, known: positions.Position
+    ) -> None:
+        """Raise `call.CallFailed` if the store answers from before what was known.
 
-def _check_not_behind(answered: positions.Position, known: positions.Position) -> None:
-    """Raise `call.CallFailed` if the store answers from before what was known.
-
-    Nothing can be read from such a store until it has caught up.
-    """
-    if answered < known:
-        journal.warning('store.behind', answered=answered, known=known)
-        raise call.CallFailed(f'the store is at {answered}, behind {known}')
+        Nothing can be read from such a store until it has caught up.
+        """
+        self._is_behind = answered < known
+        if self._is_behind:
+            journal.warning('store.behind', answered=answered, known=known)
+            raise call.CallFailed(f'the store is at {answered}, behind {known}')
