View: servers that a restored store lacks are kept for two seconds from its return

Cause: such a server looks like one that registered after the copy was taken. It was kept for 2.2 s from an entry's own read of the new era, and that read comes after a retry of up to 0.6 s. The platform states that lost records are back within about two seconds of the store's return, and that one that is still missing then is gone.

Change: the store is asked again after 0.3 s at most, and the time to keep is two seconds less that retry, 1.7 s. Records that expire in an outage keep their 2.2 s: there all servers of a service may be missing, in a restoration only those that registered in the seconds between copy and loss.

--- a/src/primrosesaddle/fleet/fleetview.py
+++ b/src/primrosesaddle/fleet/fleetview.py
@@ -18,6 +18,9 @@
 # Servers whose records expired while the store was unavailable are published again
 # within this time after it is back. The platform states about two seconds.
 EXPIRY_GRACE_S = 2.2
+# Servers that a restored store lacks may have left since its return. They are dropped
+# two seconds after that, which is noticed after one retry at the latest.
+LACKING_SERVER_S = 1.7
 # What a restored store has lost is published again within this time. After it the store
 # holds: a server that it lists has not fallen silent, and an evacuation that it lacks
 # may have been ended.
@@ -296,7 +299,7 @@
     def _restoration_time_s(self, key: str, body: bytes) -> float:
         """Return for how long a record holds that a restored store lacks."""
         if key in self._server_ids_by_key:
-            return EXPIRY_GRACE_S
+            return LACKING_SERVER_S
         if key in self.evacuations:
             return RESTORATION_S
         try:
--- a/src/primrosesaddle/fleet/reader.py
+++ b/src/primrosesaddle/fleet/reader.py
@@ -40,7 +40,7 @@
 # A peer that has lost the store no longer says that it reaches it after this time: that
 # of a watch, and of a heartbeat.
 OTHERS_LABEL_S = 5.0
-RETRY_CEILING_S = 0.6  # a change must be in force 2 s after the store is back
+RETRY_CEILING_S = 0.3  # a change must be in force 2 s after the store is back
 
 
 class Source(typing.Protocol):
--- a/tests/test_view_eras.py
+++ b/tests/test_view_eras.py
@@ -8,14 +8,14 @@
 from testtools import assertions, matchers
 
 import platformstand as stand
-from primrosesaddle.fleet import fleetview, keptrecords
+from primrosesaddle.fleet import fleetview, keptrecords, reader
 from primrosesaddle.platform import records
 from primrosesaddle.restrictions import homes
 
 SEEDS = range(60)
 STEPS = 120
 DRAIN_S = 2.0  # within which a server that left gets no more calls
-RETRY_S = 0.6  # the longest delay before the store is asked again
+RETRY_S = reader.RETRY_CEILING_S  # the longest delay before the store is asked again
 MAX_COPY_AGE = 12  # steps
 SERVERS = ('a', 'b', 'c', 'd')
 EVACUATION_KEY = 'op/evacuate/z'
@@ -140,7 +140,7 @@
     _apply_snapshot(view, [], 3, era=2)
     _assert_equal(sorted(view.servers), ['a', 'b'])
     _apply_changes(view, [_server_item('b', 4, sequence=2)], era=2)
-    clock.now += fleetview.EXPIRY_GRACE_S
+    clock.now += fleetview.LACKING_SERVER_S
     view.drop_expired_servers()
     _assert_equal(sorted(view.servers), ['b'])
 
